Whole path, thin: caller, entry daemon, owner, engine and back

Purpose: a request crosses every process, so that everything after it can be measured.

What runs: two daemons, key-value, engine, plain-service, weight-store and instance-list stand-ins as processes of their own; the operating document read from the key-value service; ownership of endpoints by one compare-and-swap document; chat completions whole and streamed; a booking claimed by its idempotency key.

--- /dev/null
+++ b/core/metrics.hpp
@@ -0,0 +1,39 @@
+#ifndef POLLENHAVEN_CORE_METRICS_HPP
+#define POLLENHAVEN_CORE_METRICS_HPP
+
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+
+namespace pollenhaven
+{
+
+// Counters and latency histograms of one process, by name. Names follow Prometheus's
+// rules and may carry labels in braces. Thread-safe.
+class metric_set
+{
+public:
+    metric_set();
+    ~metric_set();
+    metric_set(const metric_set&) = delete;
+    metric_set& operator=(const metric_set&) = delete;
+
+    void add(const std::string& counter, double amount = 1);
+    void set(const std::string& gauge, double value);
+    void observe_seconds(const std::string& histogram, double value);
+    double counter(const std::string& name) const;
+    // All metrics in Prometheus's text format.
+    std::string prometheus_text() const;
+
+private:
+    struct histograms;
+    mutable std::mutex mutex_;
+    std::map<std::string, double> counters_;
+    std::map<std::string, double> gauges_;
+    std::unique_ptr<histograms> histograms_;
+};
+
+} // namespace pollenhaven
+
+#endif
--- /dev/null
+++ b/main/control/options.hpp
@@ -0,0 +1,63 @@
+#ifndef POLLENHAVEN_MAIN_CONTROL_OPTIONS_HPP
+#define POLLENHAVEN_MAIN_CONTROL_OPTIONS_HPP
+
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace pollenhaven::control
+{
+
+// The exit codes of pollenhavenctl; docs/operators/pollenhavenctl.md lists them.
+enum class exit_code
+{
+    success = 0,
+    failure = 1,
+    bad_input = 2,
+    lost_race = 3,
+    unreachable = 4,
+    not_in_force = 5,
+    not_run = 6,
+    may_have_run = 7
+};
+
+// Ends a command with an exit code and a message that says what to do next.
+class command_error : public std::runtime_error
+{
+public:
+    command_error(exit_code code, const std::string& message)
+        : std::runtime_error(message), code_(code)
+    {
+    }
+    exit_code code() const { return code_; }
+
+private:
+    exit_code code_;
+};
+
+// The command line of pollenhavenctl.
+struct options
+{
+    std::vector<std::string> words;
+    std::string daemon;
+    std::string key_value;
+    std::string key_value_module;
+    std::string region;
+    std::string section;
+    std::string file;
+    std::string author;
+    std::string model;
+    std::string prompt;
+    int max_tokens = 0;
+    int timeout_s = 0;
+    bool json = false;
+    bool wait = false;
+    bool stream = false;
+};
+
+// Parses the command line. Throws command_error(bad_input).
+options parse_options(int count, char** arguments);
+
+} // namespace pollenhaven::control
+
+#endif
--- /dev/null
+++ b/main/pollenhavenctl.cpp
@@ -0,0 +1,53 @@
+#include "main/control/commands.hpp"
+
+#include <tclap/ArgException.h>
+
+#include <functional>
+#include <iostream>
+#include <map>
+
+namespace
+{
+
+using pollenhaven::control::command_error;
+using pollenhaven::control::exit_code;
+using pollenhaven::control::options;
+
+void run(const options& given)
+{
+    using namespace pollenhaven::control;
+    static const std::map<std::string, std::function<void(const options&)>> commands = {
+        {"config", run_config},   {"status", run_report},  {"endpoints", run_report},
+        {"adapters", run_report}, {"shares", run_report},  {"entry", run_report},
+        {"explain", run_explain}, {"request", run_request}};
+    const auto command = commands.find(given.words.front());
+    if (command == commands.end())
+        throw command_error(exit_code::bad_input,
+                            "'" + given.words.front() + "' is not a command; see --help");
+    command->second(given);
+}
+
+} // namespace
+
+int main(int count, char** arguments)
+{
+    try
+    {
+        run(pollenhaven::control::parse_options(count, arguments));
+        return 0;
+    }
+    catch (const TCLAP::ExitException& ended)
+    {
+        return ended.getExitStatus();
+    }
+    catch (const command_error& error)
+    {
+        std::cerr << "pollenhavenctl: " << error.what() << '\n';
+        return static_cast<int>(error.code());
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "pollenhavenctl: " << error.what() << '\n';
+        return static_cast<int>(exit_code::failure);
+    }
+}
--- /dev/null
+++ b/policy/lease_authority.hpp
@@ -0,0 +1,42 @@
+#ifndef POLLENHAVEN_POLICY_LEASE_AUTHORITY_HPP
+#define POLLENHAVEN_POLICY_LEASE_AUTHORITY_HPP
+
+#include "core/boot_clock.hpp"
+
+namespace pollenhaven
+{
+
+// Times that decide how long a daemon may act as the owner of its endpoints.
+struct lease_timing
+{
+    milliseconds time_to_live{10000};
+    // Subtracted from every validity, to cover clock drift between instances.
+    milliseconds margin{1000};
+};
+
+// What a daemon may still rely on. Validity always counts from the moment before a
+// question was sent, so that a pause at any point shortens it and never lengthens it.
+struct lease_authority
+{
+    // The key-value service confirmed the lease, directly or through a peer.
+    instant lease_confirmed_sent{};
+    // A peer said that the key-value service doesn't answer it either, and that it knows
+    // of no newer ownership than we do.
+    instant outage_attested_sent{};
+    // Set when a newer incarnation or a newer ownership contradicts ours.
+    bool revoked = false;
+};
+
+void confirm_lease(lease_authority& authority, instant sent);
+void attest_outage(lease_authority& authority, instant sent);
+
+// Says whether the daemon may dispatch or order anything at this moment. Must be asked
+// immediately before each dispatch and each order.
+bool may_act(const lease_authority& authority, const lease_timing& timing, instant now);
+
+// The moment at which may_act turns false if nothing further is heard.
+instant valid_until(const lease_authority& authority, const lease_timing& timing);
+
+} // namespace pollenhaven
+
+#endif
--- /dev/null
+++ b/policy/placement.cpp
@@ -0,0 +1,81 @@
+#include "policy/placement.hpp"
+
+#include "policy/rendezvous.hpp"
+
+#include <algorithm>
+
+namespace pollenhaven
+{
+
+namespace
+{
+
+struct ranked_candidate
+{
+    const placement_candidate* candidate = nullptr;
+    std::uint64_t weight = 0;
+};
+
+std::vector<ranked_candidate> rank_candidates(const model_ref& adapter,
+                                              const std::vector<placement_candidate>& all)
+{
+    std::vector<ranked_candidate> ranked;
+    ranked.reserve(all.size());
+    for (const placement_candidate& candidate : all)
+    {
+        const std::string& name = candidate.endpoint.value;
+        ranked.push_back({&candidate, rendezvous_weight(adapter.value, name)});
+    }
+    std::sort(ranked.begin(), ranked.end(),
+              [](const ranked_candidate& left, const ranked_candidate& right)
+              { return left.weight > right.weight; });
+    return ranked;
+}
+
+} // namespace
+
+double expected_wait_ms(const placement_candidate& candidate, int rank,
+                        const placement_costs& costs)
+{
+    const double service_ms = static_cast<double>(costs.service_time.count());
+    const double load_ms = static_cast<double>(costs.load_time.count());
+    const int batch = std::max(1, candidate.max_batch);
+    const int ahead = std::max(0, candidate.queued + candidate.running - batch + 1);
+    double wait = ahead * service_ms / batch;
+    if (candidate.state == residency::loading)
+        wait += load_ms / 2;
+    if (candidate.state == residency::absent)
+    {
+        wait += load_ms;
+        if (candidate.busy_slots >= candidate.slots)
+            wait += service_ms;
+        wait += static_cast<double>(rank * costs.rank_step.count());
+    }
+    // A fuller batch steps more slowly; among equals the emptier endpoint is better.
+    wait += static_cast<double>(candidate.running) / batch;
+    return wait;
+}
+
+std::optional<endpoint_id>
+choose_endpoint(const model_ref& adapter,
+                const std::vector<placement_candidate>& candidates,
+                const placement_costs& costs)
+{
+    std::optional<endpoint_id> best;
+    double best_wait = 0;
+    int rank = 0;
+    for (const ranked_candidate& ranked : rank_candidates(adapter, candidates))
+    {
+        if (ranked.candidate->excluded)
+            continue;
+        const double wait = expected_wait_ms(*ranked.candidate, rank, costs);
+        ++rank;
+        if (best && wait >= best_wait)
+            continue;
+        best = ranked.candidate->endpoint;
+        best_wait = wait;
+    }
+    return best;
+}
+
+} // namespace pollenhaven
--- /dev/null
+++ b/policy/placement.hpp
@@ -0,0 +1,60 @@
+#ifndef POLLENHAVEN_POLICY_PLACEMENT_HPP
+#define POLLENHAVEN_POLICY_PLACEMENT_HPP
+
+#include "core/boot_clock.hpp"
+#include "core/ids.hpp"
+
+#include <optional>
+#include <vector>
+
+namespace pollenhaven
+{
+
+enum class residency
+{
+    absent,
+    loading,
+    resident
+};
+
+// What an entry daemon knows of one endpoint that could serve a request.
+struct placement_candidate
+{
+    endpoint_id endpoint;
+    residency state = residency::absent;
+    // Requests queued and running there, and how many run at once.
+    int queued = 0;
+    int running = 0;
+    int max_batch = 1;
+    // Slots that hold an adapter in use or awaited; with all of them busy a load must
+    // wait.
+    int busy_slots = 0;
+    int slots = 1;
+    // Requests in progress there with which the adapter could not be loaded or served.
+    bool excluded = false;
+};
+
+struct placement_costs
+{
+    // Time that one request occupies its place in the batch.
+    milliseconds service_time{1500};
+    // Expected wait for a load, including the wait for a store permit.
+    milliseconds load_time{600};
+    // Added for each step down the adapter's rendezvous order, so that all daemons agree
+    // on where a cold adapter goes unless queues differ.
+    milliseconds rank_step{60};
+};
+
+// The expected wait in milliseconds before a request sent there now could start.
+double expected_wait_ms(const placement_candidate& candidate, int rank,
+                        const placement_costs& costs);
+
+// Chooses the endpoint with the shortest expected wait; nothing if all are excluded.
+std::optional<endpoint_id>
+choose_endpoint(const model_ref& adapter,
+                const std::vector<placement_candidate>& candidates,
+                const placement_costs& costs);
+
+} // namespace pollenhaven
+
+#endif
--- /dev/null
+++ b/servers/socket.hpp
@@ -0,0 +1,48 @@
+#ifndef POLLENHAVEN_SERVERS_SOCKET_HPP
+#define POLLENHAVEN_SERVERS_SOCKET_HPP
+
+#include "core/ids.hpp"
+
+namespace pollenhaven
+{
+
+// An open file descriptor, closed with the object.
+class file_descriptor
+{
+public:
+    explicit file_descriptor(int number = -1) : number_(number) {}
+    ~file_descriptor();
+    file_descriptor(file_descriptor&& other) noexcept;
+    file_descriptor& operator=(file_descriptor&& other) noexcept;
+    file_descriptor(const file_descriptor&) = delete;
+    file_descriptor& operator=(const file_descriptor&) = delete;
+
+    int number() const { return number_; }
+
+private:
+    int number_;
+};
+
+// Opens a non-blocking listening socket on an IP:PORT address. Throws std::runtime_error.
+// The address is never shared: that a second process can bind it proves that the first
+// has ended.
+file_descriptor listen_on(const network_address& address);
+
+// Starts a non-blocking connection. Throws std::runtime_error if the address is
+// malformed.
+file_descriptor connect_to(const network_address& address);
+
+// Takes one waiting connection; the result's number is -1 if there is none.
+file_descriptor accept_from(const file_descriptor& listener);
+
+// Splits IP:PORT. Throws std::runtime_error that names the address if it is malformed.
+struct host_and_port
+{
+    std::string host;
+    int port = 0;
+};
+host_and_port split_address(const network_address& address);
+
+} // namespace pollenhaven
+
+#endif
--- /dev/null
+++ b/servers/toml_reader.cpp
@@ -0,0 +1,147 @@
+#include "servers/toml_reader.hpp"
+
+#include <sstream>
+#include <utility>
+
+namespace pollenhaven
+{
+
+toml_reader::toml_reader(const toml::table& table, std::string source, std::string name,
+                         fault_function fault)
+    : table_(table), source_(std::move(source)), name_(std::move(name)),
+      fault_(std::move(fault))
+{
+}
+
+std::string line_of(const toml::node& node)
+{
+    return std::to_string(node.source().begin.line);
+}
+
+const toml::node* toml_reader::find(const std::string& key)
+{
+    known_.insert(key);
+    return table_.get(key);
+}
+
+void toml_reader::fault_at(const std::string& key, const std::string& message) const
+{
+    const toml::node* node = table_.get(key);
+    const toml::node& place = node == nullptr ? table_ : *node;
+    fault_(source_ + ":" + line_of(place) + ": " + name_ + "." + key + " " + message);
+}
+
+std::string toml_reader::required_text(const std::string& key)
+{
+    const std::string value = text(key, "");
+    if (value.empty())
+        fault_at(key, "is missing or empty");
+    return value;
+}
+
+std::string toml_reader::text(const std::string& key, const std::string& fallback)
+{
+    const toml::node* node = find(key);
+    if (node == nullptr)
+        return fallback;
+    const std::optional<std::string> value = node->value_exact<std::string>();
+    if (!value)
+        fault_at(key, "must be a string");
+    return value.value_or(fallback);
+}
+
+long long toml_reader::number(const std::string& key, long long fallback,
+                              long long lowest, long long highest)
+{
+    const toml::node* node = find(key);
+    if (node == nullptr)
+        return fallback;
+    const std::optional<std::int64_t> value = node->value_exact<std::int64_t>();
+    if (!value)
+        fault_at(key, "must be a whole number");
+    else if (*value < lowest || *value > highest)
+        fault_at(key, "is " + std::to_string(*value) + ", outside " +
+                          std::to_string(lowest) + " to " + std::to_string(highest));
+    return value.value_or(fallback);
+}
+
+double toml_reader::real(const std::string& key, double fallback, double lowest,
+                         double highest)
+{
+    const toml::node* node = find(key);
+    if (node == nullptr)
+        return fallback;
+    if (!node->is_number())
+    {
+        fault_at(key, "must be a number");
+        return fallback;
+    }
+    const double value = node->value<double>().value_or(fallback);
+    if (value < lowest || value > highest)
+    {
+        std::ostringstream message;
+        message << "is " << value << ", outside " << lowest << " to " << highest;
+        fault_at(key, message.str());
+    }
+    return value;
+}
+
+bool toml_reader::boolean(const std::string& key, bool fallback)
+{
+    const toml::node* node = find(key);
+    if (node == nullptr)
+        return fallback;
+    const std::optional<bool> value = node->value_exact<bool>();
+    if (!value)
+        fault_at(key, "must be true or false");
+    return value.value_or(fallback);
+}
+
+std::vector<std::string> toml_reader::texts(const std::string& key)
+{
+    std::vector<std::string> values;
+    const toml::node* node = find(key);
+    if (node == nullptr)
+        return values;
+    const toml::array* list = node->as_array();
+    if (list == nullptr)
+    {
+        fault_at(key, "must be a list of strings");
+        return values;
+    }
+    for (const toml::node& element : *list)
+    {
+        const std::optional<std::string> value = element.value_exact<std::string>();
+        if (!value)
+            fault_at(key, "must hold strings only");
+        values.push_back(value.value_or(""));
+    }
+    return values;
+}
+
+std::string toml_reader::word(const std::string& key, const std::string& fallback,
+                              const std::vector<std::string>& allowed)
+{
+    const std::string value = text(key, fallback);
+    std::string choices;
+    for (const std::string& choice : allowed)
+    {
+        if (choice == value)
+            return value;
+        choices += (choices.empty() ? "" : ", ") + choice;
+    }
+    fault_at(key, "is '" + value + "'; it must be one of " + choices);
+    return fallback;
+}
+
+void toml_reader::refuse_unknown_keys()
+{
+    for (const auto& [key, node] : table_)
+    {
+        const std::string name(key.str());
+        if (known_.count(name) == 0)
+            fault_at(name, "is not a known key");
+    }
+}
+
+} // namespace pollenhaven
--- /dev/null
+++ b/tests/harness/http.cpp
@@ -0,0 +1,160 @@
+#include "tests/harness/http.hpp"
+
+#include <httplib.h>
+
+#include <chrono>
+
+namespace pollenhaven::harness
+{
+
+namespace
+{
+
+using nlohmann::json;
+using steady = std::chrono::steady_clock;
+
+double seconds_since(steady::time_point start)
+{
+    return std::chrono::duration<double>(steady::now() - start).count();
+}
+
+http_answer to_answer(const httplib::Result& result)
+{
+    http_answer answer;
+    if (!result)
+        return answer;
+    answer.status = result->status;
+    answer.body = result->body;
+    for (const auto& [name, value] : result->headers)
+        answer.headers[name] = value;
+    return answer;
+}
+
+void read_events(std::string& received, stream_answer& answer, steady::time_point start)
+{
+    std::size_t end = 0;
+    while ((end = received.find("\n\n")) != std::string::npos)
+    {
+        const std::string event = received.substr(0, end);
+        received.erase(0, end + 2);
+        if (event == "data: [DONE]")
+        {
+            answer.done = true;
+            continue;
+        }
+        const json chunk = json::parse(event.substr(6), nullptr, false);
+        if (chunk.contains("error"))
+        {
+            answer.error = chunk["error"]["code"];
+            continue;
+        }
+        if (answer.text.empty())
+            answer.first_token_s = seconds_since(start);
+        answer.text += chunk["choices"][0]["delta"].value("content", "");
+    }
+}
+
+} // namespace
+
+std::string http_answer::verdict() const
+{
+    const json object = parsed();
+    if (!object.is_object())
+        return "";
+    return object.contains("error") ? object["error"].value("verdict", "") : "completed";
+}
+
+std::string http_answer::error_code() const
+{
+    const json object = parsed();
+    if (!object.is_object() || !object.contains("error"))
+        return "";
+    return object["error"].value("code", "");
+}
+
+http_answer get(const std::string& address, const std::string& path)
+{
+    httplib::Client client("http://" + address);
+    client.set_connection_timeout(std::chrono::seconds(2));
+    client.set_read_timeout(std::chrono::seconds(10));
+    return to_answer(client.Get(path));
+}
+
+http_answer post(const std::string& address, const std::string& path,
+                 const std::string& body,
+                 const std::map<std::string, std::string>& headers, int timeout_s)
+{
+    httplib::Client client("http://" + address);
+    client.set_connection_timeout(std::chrono::seconds(2));
+    client.set_read_timeout(std::chrono::seconds(timeout_s));
+    const httplib::Headers list(headers.begin(), headers.end());
+    return to_answer(client.Post(path, list, body, "application/json"));
+}
+
+void control(const std::string& address, const json& change)
+{
+    if (post(address, "/control", change.dump()).status != 200)
+        throw std::runtime_error("stand-in " + address + " refused " + change.dump());
+}
+
+json counts(const std::string& address)
+{
+    return get(address, "/counts").parsed();
+}
+
+stream_answer stream_chat(const std::string& address, const std::string& model,
+                          const std::string& prompt, int tokens)
+{
+    const auto start = steady::now();
+    stream_answer answer;
+    std::string received;
+    httplib::Client client("http://" + address);
+    client.set_connection_timeout(std::chrono::seconds(2));
+    client.set_read_timeout(std::chrono::seconds(60));
+    httplib::Request request;
+    request.method = "POST";
+    request.path = "/v1/chat/completions";
+    request.headers = {{"Content-Type", "application/json"}};
+    request.body = chat_body(model, prompt, tokens, true);
+    request.response_handler = [&](const httplib::Response& response)
+    {
+        answer.status = response.status;
+        return true;
+    };
+    request.content_receiver =
+        [&](const char* data, std::size_t length, std::uint64_t, std::uint64_t)
+    {
+        received.append(data, length);
+        if (answer.status == 200)
+            read_events(received, answer, start);
+        return true;
+    };
+    client.send(request);
+    answer.total_s = seconds_since(start);
+    if (answer.status == 200)
+        return answer;
+    const json body = json::parse(received, nullptr, false);
+    if (body.is_object() && body.contains("error"))
+        answer.error = body["error"].value("code", "");
+    return answer;
+}
+
+std::string chat_body(const std::string& model, const std::string& prompt, int tokens,
+                      bool stream)
+{
+    return json{{"model", model},
+                {"stream", stream},
+                {"max_tokens", tokens},
+                {"messages", {{{"role", "user"}, {"content", prompt}}}}}
+        .dump();
+}
+
+std::string expected_text(const std::string& model, const std::string& prompt, int tokens)
+{
+    std::string text;
+    for (int i = 0; i < tokens; ++i)
+        text += " " + model + "/" + prompt.substr(0, 24) + "/" + std::to_string(i);
+    return text;
+}
+
+} // namespace pollenhaven::harness
--- /dev/null
+++ b/tests/harness/http.hpp
@@ -0,0 +1,55 @@
+#ifndef POLLENHAVEN_TESTS_HARNESS_HTTP_HPP
+#define POLLENHAVEN_TESTS_HARNESS_HTTP_HPP
+
+#include <nlohmann/json.hpp>
+
+#include <map>
+#include <string>
+
+namespace pollenhaven::harness
+{
+
+struct http_answer
+{
+    // 0 if no whole answer came.
+    int status = 0;
+    std::string body;
+    std::map<std::string, std::string> headers;
+
+    nlohmann::json parsed() const { return nlohmann::json::parse(body, nullptr, false); }
+    std::string verdict() const;
+    std::string error_code() const;
+};
+
+http_answer get(const std::string& address, const std::string& path);
+http_answer post(const std::string& address, const std::string& path,
+                 const std::string& body,
+                 const std::map<std::string, std::string>& headers = {},
+                 int timeout_s = 60);
+// Sets faults of a stand-in.
+void control(const std::string& address, const nlohmann::json& change);
+// A stand-in's counts.
+nlohmann::json counts(const std::string& address);
+
+// A streamed chat completion: its status, text and whether it came to its end.
+struct stream_answer
+{
+    int status = 0;
+    std::string text;
+    std::string error;
+    bool done = false;
+    double first_token_s = 0;
+    double total_s = 0;
+};
+stream_answer stream_chat(const std::string& address, const std::string& model,
+                          const std::string& prompt, int tokens);
+
+std::string chat_body(const std::string& model, const std::string& prompt, int tokens,
+                      bool stream = false);
+// What the engine stand-in answers to a prompt.
+std::string expected_text(const std::string& model, const std::string& prompt,
+                          int tokens);
+
+} // namespace pollenhaven::harness
+
+#endif
--- /dev/null
+++ b/tests/harness/process.cpp
@@ -0,0 +1,151 @@
+#include "tests/harness/process.hpp"
+
+#include <array>
+#include <cerrno>
+#include <csignal>
+#include <cstdlib>
+#include <cstring>
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <spawn.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+extern char** environ;
+
+namespace pollenhaven::harness
+{
+
+namespace
+{
+
+constexpr std::chrono::milliseconds wait_step{10};
+constexpr int log_mode = 0644;
+
+} // namespace
+
+process::process(const std::string& program, const std::vector<std::string>& arguments,
+                 const std::string& log_file)
+{
+    std::array<int, 2> pipe_ends{};
+    if (pipe2(pipe_ends.data(), O_CLOEXEC) != 0)
+        throw std::runtime_error("can't open a pipe");
+    posix_spawn_file_actions_t actions;
+    posix_spawn_file_actions_init(&actions);
+    posix_spawn_file_actions_adddup2(&actions, pipe_ends[1], STDOUT_FILENO);
+    posix_spawn_file_actions_addopen(&actions, STDERR_FILENO, log_file.c_str(),
+                                     O_WRONLY | O_CREAT | O_APPEND, log_mode);
+    std::vector<char*> words{const_cast<char*>(program.c_str())};
+    for (const std::string& argument : arguments)
+        words.push_back(const_cast<char*>(argument.c_str()));
+    words.push_back(nullptr);
+    const int error =
+        posix_spawn(&pid_, program.c_str(), &actions, nullptr, words.data(), environ);
+    posix_spawn_file_actions_destroy(&actions);
+    close(pipe_ends[1]);
+    output_ = pipe_ends[0];
+    if (error != 0)
+        throw std::runtime_error("can't start " + program + ": " + std::strerror(error));
+}
+
+process::~process()
+{
+    kill();
+    if (output_ >= 0)
+        close(output_);
+}
+
+process::process(process&& other) noexcept
+    : pid_(std::exchange(other.pid_, -1)), output_(std::exchange(other.output_, -1)),
+      exit_code_(other.exit_code_)
+{
+}
+
+process& process::operator=(process&& other) noexcept
+{
+    std::swap(pid_, other.pid_);
+    std::swap(output_, other.output_);
+    std::swap(exit_code_, other.exit_code_);
+    return *this;
+}
+
+std::string process::read_line()
+{
+    std::string line;
+    char letter = 0;
+    while (read(output_, &letter, 1) == 1)
+    {
+        if (letter == '\n')
+            return line;
+        line += letter;
+    }
+    throw std::runtime_error("a program ended before it said what was expected");
+}
+
+void process::signal(int number) const
+{
+    if (pid_ > 0)
+        ::kill(pid_, number);
+}
+
+void process::kill()
+{
+    if (pid_ <= 0 || exit_code_)
+        return;
+    signal(SIGKILL);
+    wait(std::chrono::seconds(10));
+}
+
+std::optional<int> process::wait(std::chrono::milliseconds timeout)
+{
+    const auto deadline = std::chrono::steady_clock::now() + timeout;
+    while (!exit_code_)
+    {
+        int status = 0;
+        if (waitpid(pid_, &status, WNOHANG) == pid_)
+            exit_code_ = WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
+        else if (std::chrono::steady_clock::now() > deadline)
+            return std::nullopt;
+        else
+            std::this_thread::sleep_for(wait_step);
+    }
+    return exit_code_;
+}
+
+bool process::running()
+{
+    return pid_ > 0 && !wait(std::chrono::milliseconds(0));
+}
+
+int free_port()
+{
+    const int number = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t length = sizeof(address);
+    auto* generic = reinterpret_cast<sockaddr*>(&address);
+    const bool bound =
+        bind(number, generic, length) == 0 && getsockname(number, generic, &length) == 0;
+    close(number);
+    if (!bound)
+        throw std::runtime_error("the system gave no free port");
+    return ntohs(address.sin_port);
+}
+
+std::string program_path(const std::string& name)
+{
+    std::array<char, 4096> self{};
+    const ssize_t length = readlink("/proc/self/exe", self.data(), self.size() - 1);
+    const std::string path(self.data(),
+                           static_cast<std::size_t>(std::max<ssize_t>(0, length)));
+    const std::string build = path.substr(0, path.rfind("/tests/"));
+    const bool is_standin = name == "pollenhaven-standin";
+    return build + (is_standin ? "/tests/standins/" : "/main/") + name;
+}
+
+} // namespace pollenhaven::harness
--- /dev/null
+++ b/tests/standins/main.cpp
@@ -0,0 +1,94 @@
+// Small stand-ins for the systems that pollenhaven meets: started by tests and the demo,
+// never shipped. Faults are set by POST /control with a JSON object.
+
+#include "tests/standins/standin.hpp"
+
+#include <httplib.h>
+
+#include <csignal>
+#include <functional>
+#include <iostream>
+
+namespace pollenhaven::standins
+{
+
+namespace
+{
+
+constexpr std::size_t server_threads = 192;
+
+options parse(int count, char** arguments)
+{
+    options given;
+    for (int i = 1; i < count; ++i)
+    {
+        const std::string argument = arguments[i];
+        const std::size_t equals = argument.find('=');
+        if (argument.compare(0, 2, "--") != 0 || equals == std::string::npos)
+            throw std::invalid_argument("'" + argument +
+                                        "' is not of the form --name=value");
+        given[argument.substr(2, equals - 2)] = argument.substr(equals + 1);
+    }
+    return given;
+}
+
+int run(const options& given)
+{
+    const std::map<std::string, std::function<int(const options&)>> roles = {
+        {"key-value", run_key_value},     {"engine", run_engine},
+        {"service", run_service},         {"store", run_store},
+        {"instances", run_instance_list}, {"relay", run_relay}};
+    const auto role = roles.find(text_option(given, "role", ""));
+    if (role == roles.end())
+        throw std::invalid_argument("--role must be key-value, engine, service, store, "
+                                    "instances or relay");
+    return role->second(given);
+}
+
+} // namespace
+
+int number_option(const options& given, const std::string& name, int fallback)
+{
+    const auto found = given.find(name);
+    return found == given.end() ? fallback : std::stoi(found->second);
+}
+
+std::string text_option(const options& given, const std::string& name,
+                        const std::string& fallback)
+{
+    const auto found = given.find(name);
+    return found == given.end() ? fallback : found->second;
+}
+
+int serve(httplib::Server& server, const options& given)
+{
+    server.new_task_queue = [] { return new httplib::ThreadPool(server_threads); };
+    server.set_tcp_nodelay(true);
+    server.set_keep_alive_max_count(1000000);
+    int port = number_option(given, "port", 0);
+    const bool bound = port == 0 ? (port = server.bind_to_any_port("127.0.0.1")) > 0
+                                 : server.bind_to_port("127.0.0.1", port);
+    if (!bound)
+    {
+        std::cerr << "can't listen on port " << port << '\n';
+        return 1;
+    }
+    std::cout << "listening 127.0.0.1:" << port << std::endl;
+    return server.listen_after_bind() ? 0 : 1;
+}
+
+} // namespace pollenhaven::standins
+
+int main(int count, char** arguments)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    try
+    {
+        return pollenhaven::standins::run(pollenhaven::standins::parse(count, arguments));
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "stand-in: " << error.what() << '\n';
+        return 2;
+    }
+}
