Placement counts the store's backlog; requests that wait for adapters no longer look like a full batch

Cause: with the store saturated, requests stalled for a load counted as a full batch, so resident adapters were sent to engines that did not hold them, which cost more loads.

--- a/bench/simulator.cpp
+++ b/bench/simulator.cpp
@@ -180,8 +180,11 @@
         const std::optional<endpoint_id> chosen = deciding_.choose(wanted.model, candidates);
         const std::size_t number = std::stoul(chosen->value.substr(chosen->value.find('-') + 1));
         fake_engine& engine = engines_[number];
-        ++engine.digest.queued;
-        engine.digest_adapters.emplace(wanted.model, residency::loading);
+        // Counted until the next digest, as entry daemons do.
+        const bool loads =
+            engine.digest_adapters.emplace(wanted.model, residency::loading).second;
+        engine.digest.loading += loads ? 1 : 0;
+        ++(loads ? engine.digest.stalled : engine.digest.queued);
         queued_request queued;
         queued.id = {std::to_string(arrival.request)};
         queued.model = wanted.model;
@@ -271,7 +274,10 @@
         {
             const endpoint_scheduler& scheduler = engine.scheduler;
             engine.digest.endpoint = scheduler.endpoint;
-            engine.digest.queued = static_cast<int>(scheduler.queue.size());
+            engine.digest.stalled = stalled_requests(scheduler);
+            engine.digest.queued =
+                static_cast<int>(scheduler.queue.size()) - engine.digest.stalled;
+            engine.digest.loading = loading_adapters(scheduler);
             engine.digest.running = static_cast<int>(scheduler.running.size());
             engine.digest.max_batch = scheduler.max_batch;
             engine.digest.busy_slots = busy_slots(scheduler);
--- a/bench/variant.cpp
+++ b/bench/variant.cpp
@@ -15,7 +15,7 @@
     int best_load = 0;
     for (const placement_candidate& candidate : candidates)
     {
-        const int load = candidate.queued + candidate.running;
+        const int load = candidate.queued + candidate.stalled + candidate.running;
         if (candidate.excluded || (best && load >= best_load))
             continue;
         best = candidate.endpoint;
@@ -148,7 +148,8 @@
 variant pollenhaven_variant(const store_limits& store)
 {
     placement_costs costs;
-    costs.load_time = store.load_time * 2;
+    costs.load_time = store.load_time;
+    costs.loads_per_second = store.loads_per_second;
     variant made;
     made.name = "pollenhaven";
     made.choose =
--- a/policy/endpoint_scheduler.cpp
+++ b/policy/endpoint_scheduler.cpp
@@ -489,4 +489,22 @@
         [&](const auto& entry) { return is_busy(state, entry.first, entry.second); }));
 }
 
+int stalled_requests(const endpoint_scheduler& state)
+{
+    return static_cast<int>(std::count_if(state.queue.begin(), state.queue.end(),
+                                          [&](const queued_request& request)
+                                          { return !is_ready(state, request.model); }));
+}
+
+int loading_adapters(const endpoint_scheduler& state)
+{
+    return static_cast<int>(
+        std::count_if(state.residents.begin(), state.residents.end(),
+                      [](const auto& entry)
+                      {
+                          return entry.second.state == slot_state::awaiting_permit ||
+                                 entry.second.state == slot_state::loading;
+                      }));
+}
+
 } // namespace pollenhaven
--- a/policy/endpoint_scheduler.hpp
+++ b/policy/endpoint_scheduler.hpp
@@ -59,7 +59,7 @@
 {
     std::size_t max_queue = 256;
     // Time in which an adapter's heat halves.
-    seconds heat_half_life{60};
+    seconds heat_half_life{300};
     // First wait after a failed load; doubles with each further failure.
     milliseconds load_backoff{500};
     milliseconds load_backoff_limit{15000};
@@ -163,6 +163,12 @@
 // Slots whose adapter is in use, awaited or being changed.
 int busy_slots(const endpoint_scheduler& state);
 
+// Queued requests whose adapter isn't ready.
+int stalled_requests(const endpoint_scheduler& state);
+
+// Adapters that wait for the store or are being loaded.
+int loading_adapters(const endpoint_scheduler& state);
+
 } // namespace pollenhaven
 
 #endif
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -10,6 +10,8 @@
 namespace
 {
 
+constexpr double milliseconds_per_second = 1000;
+
 struct ranked_candidate
 {
     const placement_candidate* candidate = nullptr;
@@ -34,11 +36,20 @@
 
 } // namespace
 
-double expected_wait_ms(const placement_candidate& candidate, int rank,
+int waiting_loads(const std::vector<placement_candidate>& candidates)
+{
+    int waiting = 0;
+    for (const placement_candidate& candidate : candidates)
+        waiting += candidate.loading;
+    return waiting;
+}
+
+double expected_wait_ms(const placement_candidate& candidate, int rank, int waiting_loads,
                         const placement_costs& costs)
 {
     const double service_ms = static_cast<double>(costs.service_time.count());
-    const double load_ms = static_cast<double>(costs.load_time.count());
+    const double store_ms = milliseconds_per_second * waiting_loads / costs.loads_per_second;
+    const double load_ms = static_cast<double>(costs.load_time.count()) + store_ms;
     const int batch = std::max(1, candidate.max_batch);
     const int ahead = std::max(0, candidate.queued + candidate.running - batch + 1);
     double wait = ahead * service_ms / batch;
@@ -64,11 +75,12 @@
     std::optional<endpoint_id> best;
     double best_wait = 0;
     int rank = 0;
+    const int loads = waiting_loads(candidates);
     for (const ranked_candidate& ranked : rank_candidates(adapter, candidates))
     {
         if (ranked.candidate->excluded)
             continue;
-        const double wait = expected_wait_ms(*ranked.candidate, rank, costs);
+        const double wait = expected_wait_ms(*ranked.candidate, rank, loads, costs);
         ++rank;
         if (best && wait >= best_wait)
             continue;
--- a/policy/placement.hpp
+++ b/policy/placement.hpp
@@ -22,14 +22,18 @@
 {
     endpoint_id endpoint;
     residency state = residency::absent;
-    // Requests queued and running there, and how many run at once.
+    // Requests that wait for a place in the batch, those that wait for their adapter, those
+    // that run, and how many can run at once.
     int queued = 0;
+    int stalled = 0;
     int running = 0;
     int max_batch = 1;
     // Slots that hold an adapter in use or awaited; with all of them busy a load must
     // wait.
     int busy_slots = 0;
     int slots = 1;
+    // Adapters there that wait for the store or are being loaded.
+    int loading = 0;
     // Requests in progress there with which the adapter could not be loaded or served.
     bool excluded = false;
 };
@@ -38,17 +42,23 @@
 {
     // Time that one request occupies its place in the batch.
     milliseconds service_time{1500};
-    // Expected wait for a load, including the wait for a store permit.
-    milliseconds load_time{600};
+    // Time that one load takes once it has its permit.
+    milliseconds load_time{250};
+    // Loads that the store allows; every load that waits already makes the next one wait.
+    double loads_per_second = 3.0;
     // Added for each step down the adapter's rendezvous order, so that all daemons agree
     // on where a cold adapter goes unless queues differ.
     milliseconds rank_step{60};
 };
 
-// The expected wait in milliseconds before a request sent there now could start.
-double expected_wait_ms(const placement_candidate& candidate, int rank,
+// The expected wait in milliseconds before a request sent there now could start, with so many
+// loads waiting for the store in the whole region.
+double expected_wait_ms(const placement_candidate& candidate, int rank, int waiting_loads,
                         const placement_costs& costs);
 
+// The loads that wait for the store on all candidates together.
+int waiting_loads(const std::vector<placement_candidate>& candidates);
+
 // Chooses the endpoint with the shortest expected wait; nothing if all are excluded.
 std::optional<endpoint_id>
 choose_endpoint(const model_ref& adapter,
--- a/servers/entry_router.cpp
+++ b/servers/entry_router.cpp
@@ -105,6 +105,10 @@
         if (adapter != digest->adapters.end())
             candidate.state = adapter->second;
         candidate.queued = digest->queued;
+        candidate.stalled = digest->stalled;
+        candidate.loading = static_cast<int>(
+            std::count_if(digest->adapters.begin(), digest->adapters.end(),
+                          [](const auto& held) { return held.second == residency::loading; }));
         candidate.running = digest->running;
         candidate.max_batch = digest->max_batch;
         candidate.busy_slots = digest->busy_slots;
@@ -117,9 +121,10 @@
 
 std::optional<endpoint_id> entry_call::choose() const
 {
+    const store_limits& store = router_.context.cluster.snapshot()->document->store;
     placement_costs costs;
-    // A load takes its own time and, on average, as long again for the store's permit.
-    costs.load_time = router_.context.cluster.snapshot()->document->store.load_time * 2;
+    costs.load_time = store.load_time;
+    costs.loads_per_second = store.loads_per_second;
     return choose_endpoint(request_.model, candidates(), costs);
 }
 
--- a/servers/owner_duty.cpp
+++ b/servers/owner_duty.cpp
@@ -62,7 +62,8 @@
     endpoint_digest digest;
     digest.id = scheduler.endpoint;
     digest.ready = ready;
-    digest.queued = static_cast<int>(scheduler.queue.size());
+    digest.stalled = stalled_requests(scheduler);
+    digest.queued = static_cast<int>(scheduler.queue.size()) - digest.stalled;
     digest.running = static_cast<int>(scheduler.running.size());
     digest.max_batch = scheduler.max_batch;
     digest.busy_slots = busy_slots(scheduler);
--- a/servers/peer_messages.hpp
+++ b/servers/peer_messages.hpp
@@ -79,6 +79,7 @@
     endpoint_id id;
     bool ready = false;
     int queued = 0;
+    int stalled = 0;
     int running = 0;
     int max_batch = 1;
     int busy_slots = 0;
--- a/servers/peer_table.cpp
+++ b/servers/peer_table.cpp
@@ -57,8 +57,8 @@
     const auto digest = peer->second.endpoints.find(id);
     if (digest == peer->second.endpoints.end())
         return;
-    ++digest->second.queued;
-    digest->second.adapters.emplace(model, residency::loading);
+    const bool loads = digest->second.adapters.emplace(model, residency::loading).second;
+    ++(loads ? digest->second.stalled : digest->second.queued);
 }
 
 void peer_table::mark_silent(const daemon_id& peer)
--- a/servers/status_report.cpp
+++ b/servers/status_report.cpp
@@ -106,7 +106,7 @@
             if (digest)
             {
                 line["ready"] = digest->ready;
-                line["queued"] = digest->queued;
+                line["queued"] = digest->queued + digest->stalled;
                 line["running"] = digest->running;
                 line["slots"] = digest->slots;
                 line["adapters"] = digest->adapters.size();
