Cold adapters go where the eviction costs least

Cause: each engine kept its own popularity order, so a cold adapter's fixed first choice could evict a hot adapter while another engine held cold ones. Owners now publish the heat of their next victim, and placement adds 200 ms for each unit of it.

--- a/bench/simulator.cpp
+++ b/bench/simulator.cpp
@@ -277,6 +277,7 @@
             engine.digest.stalled = stalled_requests(scheduler);
             engine.digest.queued =
                 static_cast<int>(scheduler.queue.size()) - engine.digest.stalled;
+            engine.digest.victim_heat = next_victim_heat(scheduler, now_);
             engine.digest.loading = loading_adapters(scheduler);
             engine.digest.running = static_cast<int>(scheduler.running.size());
             engine.digest.max_batch = scheduler.max_batch;
--- a/policy/endpoint_scheduler.cpp
+++ b/policy/endpoint_scheduler.cpp
@@ -489,6 +489,15 @@
         [&](const auto& entry) { return is_busy(state, entry.first, entry.second); }));
 }
 
+double next_victim_heat(const endpoint_scheduler& state, instant now)
+{
+    if (static_cast<int>(state.residents.size()) < state.slots)
+        return 0;
+    const std::optional<model_ref> victim =
+        eviction_victim(state, {}, work_class::interactive, now);
+    return victim ? heat_at(state, *victim, now) : 0;
+}
+
 int stalled_requests(const endpoint_scheduler& state)
 {
     return static_cast<int>(std::count_if(state.queue.begin(), state.queue.end(),
--- a/policy/endpoint_scheduler.hpp
+++ b/policy/endpoint_scheduler.hpp
@@ -163,6 +163,9 @@
 // Slots whose adapter is in use, awaited or being changed.
 int busy_slots(const endpoint_scheduler& state);
 
+// The heat of the adapter that the next load would evict; 0 while a slot is free.
+double next_victim_heat(const endpoint_scheduler& state, instant now);
+
 // Queued requests whose adapter isn't ready.
 int stalled_requests(const endpoint_scheduler& state);
 
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -61,6 +61,7 @@
         if (candidate.busy_slots >= candidate.slots)
             wait += service_ms;
         wait += static_cast<double>(rank * costs.rank_step.count());
+        wait += candidate.victim_heat * static_cast<double>(costs.victim_heat_step.count());
     }
     // A fuller batch steps more slowly; among equals the emptier endpoint is better.
     wait += static_cast<double>(candidate.running) / batch;
--- a/policy/placement.hpp
+++ b/policy/placement.hpp
@@ -32,6 +32,9 @@
     // wait.
     int busy_slots = 0;
     int slots = 1;
+    // How much the adapter was asked for lately that would be evicted there for a new one; 0
+    // while a slot is free.
+    double victim_heat = 0;
     // Adapters there that wait for the store or are being loaded.
     int loading = 0;
     // Requests in progress there with which the adapter could not be loaded or served.
@@ -49,6 +52,9 @@
     // Added for each step down the adapter's rendezvous order, so that all daemons agree
     // on where a cold adapter goes unless queues differ.
     milliseconds rank_step{60};
+    // Added for each unit of heat of the adapter that would be evicted: what is evicted has to
+    // be loaded again if it is asked for.
+    milliseconds victim_heat_step{200};
 };
 
 // The expected wait in milliseconds before a request sent there now could start, with so many
--- a/servers/entry_router.cpp
+++ b/servers/entry_router.cpp
@@ -106,6 +106,7 @@
             candidate.state = adapter->second;
         candidate.queued = digest->queued;
         candidate.stalled = digest->stalled;
+        candidate.victim_heat = digest->victim_heat;
         candidate.loading = static_cast<int>(
             std::count_if(digest->adapters.begin(), digest->adapters.end(),
                           [](const auto& held) { return held.second == residency::loading; }));
--- a/servers/owner_duty.cpp
+++ b/servers/owner_duty.cpp
@@ -5,6 +5,7 @@
 #include "core/random_id.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace pollenhaven
@@ -57,12 +58,14 @@
     return queued;
 }
 
-endpoint_digest to_digest(const endpoint_scheduler& scheduler, bool ready)
+endpoint_digest to_digest(const endpoint_scheduler& scheduler, bool ready, instant now)
 {
     endpoint_digest digest;
     digest.id = scheduler.endpoint;
     digest.ready = ready;
     digest.stalled = stalled_requests(scheduler);
+    // Rounded, so that the slow decay alone is no news.
+    digest.victim_heat = std::round(next_victim_heat(scheduler, now));
     digest.queued = static_cast<int>(scheduler.queue.size()) - digest.stalled;
     digest.running = static_cast<int>(scheduler.running.size());
     digest.max_batch = scheduler.max_batch;
@@ -326,7 +329,7 @@
         for (const auto& [id, owned] : owned_)
         {
             const bool ready = owned.scheduler.reconciled && !owned.scheduler.draining;
-            digests_.push_back(to_digest(owned.scheduler, ready));
+            digests_.push_back(to_digest(owned.scheduler, ready, boot_clock::now()));
             idle_[id] = is_idle(owned.scheduler);
         }
         for (const auto& [fingerprint, suspect] : crashes_.suspects)
--- a/servers/peer_messages.cpp
+++ b/servers/peer_messages.cpp
@@ -72,7 +72,7 @@
     json adapters = json::object();
     for (const auto& [adapter, state] : digest.adapters)
         adapters[adapter.value] = static_cast<int>(state);
-    return {{"id", digest.id.value}, {"ready", digest.ready}, {"q", digest.queued}, {"st", digest.stalled},
+    return {{"id", digest.id.value}, {"ready", digest.ready}, {"q", digest.queued}, {"st", digest.stalled}, {"vh", digest.victim_heat},
             {"r", digest.running},   {"b", digest.max_batch}, {"busy", digest.busy_slots},
             {"slots", digest.slots}, {"a", adapters}};
 }
@@ -84,6 +84,7 @@
     digest.ready = object.value("ready", false);
     digest.queued = object.value("q", 0);
     digest.stalled = object.value("st", 0);
+    digest.victim_heat = object.value("vh", 0.0);
     digest.running = object.value("r", 0);
     digest.max_batch = object.value("b", 1);
     digest.busy_slots = object.value("busy", 0);
--- a/servers/peer_messages.hpp
+++ b/servers/peer_messages.hpp
@@ -84,6 +84,7 @@
     int max_batch = 1;
     int busy_slots = 0;
     int slots = 0;
+    double victim_heat = 0;
     std::map<model_ref, residency> adapters;
 };
 
