--- a/bench/simulator.cpp
+++ b/bench/simulator.cpp
@@ -200,7 +200,7 @@
         queued.priority = wanted.priority;
         queued.tokens = {static_cast<std::uint64_t>(wanted.tokens)};
         queued.arrived = now_;
-        queued.deadline = now_ + request_deadline;
+        queued.start_by = now_ + patience_for(wanted.priority, request_deadline, {});
         carry_out(number, deciding_.on_request(engine.scheduler, shares_, queued, now_));
     }
 
--- a/policy/endpoint_scheduler.cpp
+++ b/policy/endpoint_scheduler.cpp
@@ -458,13 +458,13 @@
     scheduler_actions actions;
     for (const queued_request& request : state.queue)
     {
-        if (request.deadline <= now)
+        if (request.start_by <= now)
             actions.emplace_back(
-                reject(state, request, "deadline_exceeded",
-                       "the request could not start before its deadline"));
+                reject(state, request, "no_start_in_time",
+                       "the request could not start in time"));
     }
     std::erase_if(state.queue,
-                  [&](const queued_request& request) { return request.deadline <= now; });
+                  [&](const queued_request& request) { return request.start_by <= now; });
     withdraw_unwanted(state, actions);
     append(actions, schedule(state, shares, now));
     return actions;
--- a/policy/endpoint_scheduler.hpp
+++ b/policy/endpoint_scheduler.hpp
@@ -26,7 +26,8 @@
     // Expected work, charged to the partner on dispatch.
     token_count tokens{100};
     instant arrived{};
-    instant deadline{};
+    // The moment by which it has to start.
+    instant start_by{};
 };
 
 enum class slot_state
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -59,7 +59,7 @@
     {
         wait += load_ms;
         if (candidate.busy_slots >= candidate.slots)
-            wait += service_ms;
+            wait += static_cast<double>(costs.slot_wait.count());
         wait += static_cast<double>(rank * costs.rank_step.count());
         wait += candidate.victim_heat * static_cast<double>(costs.victim_heat_step.count());
     }
@@ -88,12 +88,18 @@
     return best;
 }
 
+milliseconds patience_for(work_class priority, milliseconds time_left,
+                          const patience_limits& limits)
+{
+    const bool waits = priority == work_class::interactive;
+    return std::min(time_left, waits ? limits.interactive : limits.overnight);
+}
+
 std::optional<milliseconds> refuse_for_now(const placement& chosen, work_class priority,
                                            milliseconds time_left,
                                            const patience_limits& limits)
 {
-    const milliseconds patience = std::min(
-        time_left, priority == work_class::interactive ? limits.interactive : limits.overnight);
+    const milliseconds patience = patience_for(priority, time_left, limits);
     const milliseconds wait(static_cast<long>(chosen.expected_wait_ms));
     if (wait <= patience)
         return std::nullopt;
--- a/policy/placement.hpp
+++ b/policy/placement.hpp
@@ -50,6 +50,9 @@
     milliseconds load_time{250};
     // Loads that the store allows; every load that waits already makes the next one wait.
     double loads_per_second = 3.0;
+    // Expected wait for a slot where all are in use or awaited. While the engine is busy none
+    // may come free for long.
+    milliseconds slot_wait{6000};
     // Added for each step down the adapter's rendezvous order, so that all daemons agree
     // on where a cold adapter goes unless queues differ.
     milliseconds rank_step{60};
@@ -85,6 +88,10 @@
     milliseconds overnight{90000};
 };
 
+// The time within which a request has to start, or is better told to come back.
+milliseconds patience_for(work_class priority, milliseconds time_left,
+                          const patience_limits& limits);
+
 // Nothing if the request should be queued; otherwise when its caller should come back. A
 // request that would wait longer than is useful is refused at once instead of being held.
 std::optional<milliseconds> refuse_for_now(const placement& chosen, work_class priority,
--- a/servers/owner_duty.cpp
+++ b/servers/owner_duty.cpp
@@ -45,7 +45,8 @@
     return {verdict::not_run, 503, code, message, retry_after};
 }
 
-queued_request to_queued(const execute_request& request, instant now)
+queued_request to_queued(const execute_request& request, const patience_limits& patience,
+                         instant now)
 {
     queued_request queued;
     queued.id = request.id;
@@ -54,7 +55,7 @@
     queued.priority = request.priority;
     queued.tokens = request.tokens;
     queued.arrived = now;
-    queued.deadline = now + request.time_left;
+    queued.start_by = now + patience_for(request.priority, request.time_left, patience);
     return queued;
 }
 
@@ -378,7 +379,7 @@
         reject(request.id, reason);
         return;
     }
-    carry_out(owned, on_request(owned.scheduler, shares_, to_queued(request, now), now));
+    carry_out(owned, on_request(owned.scheduler, shares_, to_queued(request, context_.settings.patience, now), now));
 }
 
 // Follows a generation that runs already; it holds its place in the scheduler, if it is
--- /dev/null
+++ b/tests/harness/background_load.cpp
@@ -0,0 +1,110 @@
+#include "tests/harness/background_load.hpp"
+
+#include <utility>
+
+namespace pollenhaven::harness
+{
+
+namespace
+{
+
+constexpr int answer_tokens = 20;
+constexpr int turns_per_booking = 4;
+constexpr std::chrono::milliseconds pause_between{30};
+
+} // namespace
+
+background_load::background_load(const cluster& deployment, std::vector<std::string> addresses,
+                                 int callers, int models)
+    : deployment_(deployment), addresses_(std::move(addresses)), models_(models)
+{
+    for (int i = 0; i < callers; ++i)
+        threads_.emplace_back([this, i] { run(i); });
+}
+
+background_load::~background_load()
+{
+    stop();
+}
+
+load_counts background_load::stop()
+{
+    stop_ = true;
+    for (std::thread& thread : threads_)
+    {
+        if (thread.joinable())
+            thread.join();
+    }
+    const std::lock_guard lock(mutex_);
+    return counts_;
+}
+
+void background_load::run(int caller)
+{
+    for (int turn = 0; !stop_; ++turn)
+    {
+        if (turn % turns_per_booking == 0)
+            book(caller, turn);
+        else
+            ask(caller, turn);
+        std::this_thread::sleep_for(pause_between);
+    }
+}
+
+void background_load::ask(int caller, int turn)
+{
+    const auto number = static_cast<std::size_t>(caller + turn);
+    const std::string& address = addresses_[number % addresses_.size()];
+    const std::string model = deployment_.model((caller + turn) % models_);
+    const std::string prompt = std::to_string(caller) + "-" + std::to_string(turn);
+    const stream_answer answer = stream_chat(address, model, prompt, answer_tokens);
+    const std::lock_guard lock(mutex_);
+    ++counts_.sent;
+    if (answer.status == 200 && answer.done)
+    {
+        const bool right = answer.text == expected_text(model, prompt, answer_tokens);
+        ++(right ? counts_.served : counts_.wrong);
+        served_ = counts_.served;
+        return;
+    }
+    counts_.cut += answer.status == 200 ? 1 : 0;
+    ++counts_.failed[answer.error.empty() ? "connection" : answer.error];
+}
+
+void background_load::book(int caller, int turn)
+{
+    const auto number = static_cast<std::size_t>(caller + turn);
+    const std::string key = "load-" + std::to_string(caller) + "-" + std::to_string(turn);
+    const http_answer answer =
+        post(addresses_[number % addresses_.size()],
+             "/v1/services/" + deployment_.options.service + "/entries", "{}",
+             {{"Idempotency-Key", key}});
+    const std::string verdict = answer.status == 0 ? "may_have_run" : answer.verdict();
+    const std::lock_guard lock(mutex_);
+    ++counts_.sent;
+    counts_.bookings[verdict].push_back(key);
+    if (verdict == "completed")
+        ++counts_.served;
+    else
+        ++counts_.failed[answer.status == 0 ? "connection" : answer.error_code()];
+}
+
+int broken_promises(const cluster& deployment, const load_counts& counts)
+{
+    const std::map<std::string, int> carried_out = deployment.carried_out();
+    int broken = 0;
+    for (const auto& [key, times] : carried_out)
+        broken += times > 1 ? 1 : 0;
+    for (const auto& [verdict, keys] : counts.bookings)
+    {
+        for (const std::string& key : keys)
+        {
+            const bool done = carried_out.count(key) > 0;
+            broken += verdict == "completed" && !done ? 1 : 0;
+            broken += verdict == "not_run" && done ? 1 : 0;
+        }
+    }
+    return broken;
+}
+
+} // namespace pollenhaven::harness
--- /dev/null
+++ b/tests/harness/background_load.hpp
@@ -0,0 +1,63 @@
+#ifndef POLLENHAVEN_TESTS_HARNESS_BACKGROUND_LOAD_HPP
+#define POLLENHAVEN_TESTS_HARNESS_BACKGROUND_LOAD_HPP
+
+#include "tests/harness/cluster.hpp"
+
+#include <atomic>
+#include <map>
+#include <mutex>
+#include <thread>
+
+namespace pollenhaven::harness
+{
+
+// What callers saw while the load ran.
+struct load_counts
+{
+    int sent = 0;
+    int served = 0;
+    // Whole answers with the wrong text.
+    int wrong = 0;
+    // Streams that began and did not come to their end.
+    int cut = 0;
+    // Answers other than served, by error code.
+    std::map<std::string, int> failed;
+    // Booking keys by what their callers were told: "completed", "not_run", "may_have_run".
+    std::map<std::string, std::vector<std::string>> bookings;
+};
+
+// Keeps sending questions and bookings to the given addresses until it is stopped.
+class background_load
+{
+public:
+    background_load(const cluster& deployment, std::vector<std::string> addresses,
+                    int callers = 4, int models = 4);
+    ~background_load();
+    background_load(const background_load&) = delete;
+    background_load& operator=(const background_load&) = delete;
+
+    load_counts stop();
+    int served() const { return served_; }
+
+private:
+    void run(int caller);
+    void ask(int caller, int turn);
+    void book(int caller, int turn);
+
+    const cluster& deployment_;
+    std::vector<std::string> addresses_;
+    int models_;
+    std::atomic<bool> stop_{false};
+    std::atomic<int> served_{0};
+    std::mutex mutex_;
+    load_counts counts_;
+    std::vector<std::thread> threads_;
+};
+
+// Bookings that were carried out more than once, lost although completed, or carried out
+// although their callers were told that they were not run.
+int broken_promises(const cluster& deployment, const load_counts& counts);
+
+} // namespace pollenhaven::harness
+
+#endif
