--- a/bench/clairvoyant.cpp
+++ b/bench/clairvoyant.cpp
@@ -80,7 +80,8 @@
             std::chrono::duration<double>(1.0 / sizes_.store.loads_per_second));
         for (;;)
         {
-            std::deque<waiting_load>& queue = interactive_.empty() ? overnight_ : interactive_;
+            std::deque<waiting_load>& queue =
+                interactive_.empty() ? overnight_ : interactive_;
             if (queue.empty())
                 return;
             const instant asked = queue.front().asked;
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -1,5 +1,5 @@
-// Replays seeded workloads in virtual time under the product's decisions, a naive version and
-// a clairvoyant bound, and prints how each did.
+// Replays seeded workloads in virtual time under the product's decisions, a naive version
+// and a clairvoyant bound, and prints how each did.
 
 #include "bench/clairvoyant.hpp"
 #include "bench/simulator.hpp"
@@ -33,7 +33,8 @@
 }
 
 // The largest distance, in percentage points, of a partner's part from the document's.
-double share_error(const simulation_result& result, const std::map<partner_id, double>& weights)
+double share_error(const simulation_result& result,
+                   const std::map<partner_id, double>& weights)
 {
     double total = 0;
     double total_weight = 0;
@@ -55,8 +56,8 @@
 }
 
 ordered_json make_row(const deployment_sizes& sizes, const workload_options& options,
-                      const std::string& name, const simulation_result& result, bool saturated,
-                      const std::map<partner_id, double>& weights)
+                      const std::string& name, const simulation_result& result,
+                      bool saturated, const std::map<partner_id, double>& weights)
 {
     std::vector<double> stalls;
     std::vector<double> first;
@@ -112,8 +113,8 @@
     std::vector<ordered_json> rows;
     for (const variant& deciding : {pollenhaven_variant(sizes.store), naive_variant()})
         rows.push_back(make_row(sizes, options, deciding.name,
-                                simulate(sizes, options, load, deciding, weights), saturated,
-                                weights));
+                                simulate(sizes, options, load, deciding, weights),
+                                saturated, weights));
     rows.push_back(make_row(sizes, options, "clairvoyant", bound, saturated, weights));
     return rows;
 }
@@ -169,14 +170,19 @@
               << std::setprecision(2) << std::setw(5) << row["skew"].get<double>()
               << std::setw(7) << row["rate"].get<double>() << std::setw(5)
               << (row["saturated"].get<bool>() ? "sat" : "") << std::setprecision(3);
-    for (const char* name : {"interactive_load_stall_p50_s", "interactive_load_stall_p95_s",
-                             "interactive_load_stall_p99_s", "first_token_p95_s"})
+    for (const char* name :
+         {"interactive_load_stall_p50_s", "interactive_load_stall_p95_s",
+          "interactive_load_stall_p99_s", "first_token_p95_s"})
         std::cout << std::setw(9) << row[name].get<double>();
     const auto number = [](const ordered_json& value)
-    { return value.is_null() ? std::string("-") : std::to_string(value.get<double>()).substr(0, 6); };
+    {
+        return value.is_null() ? std::string("-")
+                               : std::to_string(value.get<double>()).substr(0, 6);
+    };
     std::cout << std::setw(8) << number(row["batch_efficiency"]) << std::setw(7)
-              << row["loads"].get<int>() << std::setw(8) << number(row["share_error_points"])
-              << std::setw(8) << row["refused"].get<int>() << '\n';
+              << row["loads"].get<int>() << std::setw(8)
+              << number(row["share_error_points"]) << std::setw(8)
+              << row["refused"].get<int>() << '\n';
 }
 
 } // namespace
@@ -185,9 +191,10 @@
 {
     TCLAP::CmdLine line("Measures the decisions in virtual time.", ' ', "0.1.0");
     const TCLAP::SwitchArg json("", "json", "One JSON object a line.", line);
-    const TCLAP::ValueArg<std::string> kind("", "case", "Only this case.", false, "", "NAME",
-                                            line);
-    const TCLAP::ValueArg<double> rate("", "rate", "Only this rate.", false, 0, "R", line);
+    const TCLAP::ValueArg<std::string> kind("", "case", "Only this case.", false, "",
+                                            "NAME", line);
+    const TCLAP::ValueArg<double> rate("", "rate", "Only this rate.", false, 0, "R",
+                                       line);
     const TCLAP::ValueArg<std::uint64_t> seed("", "seed", "Seed.", false, 1, "N", line);
     line.parse(count, arguments);
     if (!json.getValue())
--- a/bench/simulator.cpp
+++ b/bench/simulator.cpp
@@ -48,8 +48,9 @@
 struct restart_event
 {
 };
-using event_body = std::variant<arrival_event, step_event, load_ended_event, unload_ended_event,
-                                tick_event, digest_event, restart_event>;
+using event_body =
+    std::variant<arrival_event, step_event, load_ended_event, unload_ended_event,
+                 tick_event, digest_event, restart_event>;
 
 struct timed_event
 {
@@ -100,7 +101,8 @@
         const instant start = std::max(now, next_start - (limits.burst - 1) * spacing);
         next_start = std::max(next_start, now) + spacing;
         const auto in_flight = static_cast<int>(ends.size()) + 1;
-        const int slowdown = (in_flight + limits.max_in_flight - 1) / limits.max_in_flight;
+        const int slowdown =
+            (in_flight + limits.max_in_flight - 1) / limits.max_in_flight;
         const instant end = start + limits.load_time * slowdown;
         ends.insert(std::upper_bound(ends.begin(), ends.end(), end), end);
         return end;
@@ -151,14 +153,19 @@
     }
 
 private:
-    void schedule(instant at, const event_body& body) { events_.push({at, ++order_, body}); }
+    void schedule(instant at, const event_body& body)
+    {
+        events_.push({at, ++order_, body});
+    }
 
     bool work_left() const
     {
         return arrived_ < load_.size() ||
                std::any_of(engines_.begin(), engines_.end(),
-                           [](const fake_engine& engine)
-                           { return !engine.running.empty() || !engine.scheduler.queue.empty(); });
+                           [](const fake_engine& engine) {
+                               return !engine.running.empty() ||
+                                      !engine.scheduler.queue.empty();
+                           });
     }
 
     void handle(const arrival_event& arrival)
@@ -180,13 +187,15 @@
                 candidate.state = adapter->second;
             candidates.push_back(candidate);
         }
-        const std::optional<endpoint_id> chosen = deciding_.choose(wanted.model, wanted.priority, candidates);
+        const std::optional<endpoint_id> chosen =
+            deciding_.choose(wanted.model, wanted.priority, candidates);
         if (!chosen)
         {
             record.refused = true;
             return;
         }
-        const std::size_t number = std::stoul(chosen->value.substr(chosen->value.find('-') + 1));
+        const std::size_t number =
+            std::stoul(chosen->value.substr(chosen->value.find('-') + 1));
         fake_engine& engine = engines_[number];
         // Counted until the next digest, as entry daemons do.
         const bool loads =
@@ -229,13 +238,14 @@
             if (--running.tokens_left == 0)
                 finished.push_back(running.request);
         }
-        std::erase_if(engine.running,
-                      [](const running_request& running) { return running.tokens_left == 0; });
+        std::erase_if(engine.running, [](const running_request& running)
+                      { return running.tokens_left == 0; });
         for (const std::size_t request : finished)
         {
             result_.requests[request].finished = true;
-            carry_out(step.engine, deciding_.on_finished(engine.scheduler, shares_,
-                                                         {std::to_string(request)}, now_));
+            carry_out(step.engine,
+                      deciding_.on_finished(engine.scheduler, shares_,
+                                            {std::to_string(request)}, now_));
         }
         start_stepping(step.engine);
     }
@@ -342,7 +352,8 @@
         const std::size_t request = std::stoul(action.request.id.value);
         request_record& record = result_.requests[request];
         const instant ready = ready_at_[request];
-        record.load_stall_s = ready > record.arrived ? to_seconds(ready - record.arrived) : 0;
+        record.load_stall_s =
+            ready > record.arrived ? to_seconds(ready - record.arrived) : 0;
         engines_[engine].running.push_back({request, load_[request].tokens, false});
         start_stepping(engine);
     }
@@ -408,7 +419,8 @@
 } // namespace
 
 simulation_result simulate(const deployment_sizes& sizes, const workload_options& options,
-                           const std::vector<workload_request>& load, const variant& deciding,
+                           const std::vector<workload_request>& load,
+                           const variant& deciding,
                            const std::map<partner_id, double>& weights)
 {
     return simulation(sizes, options, load, deciding, weights).run();
--- a/bench/simulator.hpp
+++ b/bench/simulator.hpp
@@ -36,7 +36,8 @@
 
 // Replays a workload in virtual time against fakes of engines and store.
 simulation_result simulate(const deployment_sizes& sizes, const workload_options& options,
-                           const std::vector<workload_request>& load, const variant& deciding,
+                           const std::vector<workload_request>& load,
+                           const variant& deciding,
                            const std::map<partner_id, double>& weights);
 
 } // namespace pollenhaven::bench
--- a/bench/variant.cpp
+++ b/bench/variant.cpp
@@ -10,8 +10,9 @@
 
 constexpr milliseconds request_time{120000};
 
-std::optional<endpoint_id> least_loaded(const model_ref&, work_class,
-                                        const std::vector<placement_candidate>& candidates)
+std::optional<endpoint_id>
+least_loaded(const model_ref&, work_class,
+             const std::vector<placement_candidate>& candidates)
 {
     std::optional<endpoint_id> best;
     int best_load = 0;
@@ -38,9 +39,9 @@
     instant oldest{};
     for (const auto& [adapter, slot] : state.residents)
     {
-        const bool awaited =
-            std::any_of(state.queue.begin(), state.queue.end(),
-                        [&](const queued_request& request) { return request.model == adapter; });
+        const bool awaited = std::any_of(state.queue.begin(), state.queue.end(),
+                                         [&](const queued_request& request)
+                                         { return request.model == adapter; });
         if (slot.state != slot_state::ready || slot.in_use > 0 || awaited)
             continue;
         if (victim && slot.last_used >= oldest)
@@ -80,7 +81,8 @@
 {
     scheduler_actions actions;
     for (auto next = state.queue.begin();
-         next != state.queue.end() && static_cast<int>(state.running.size()) < state.max_batch;)
+         next != state.queue.end() &&
+         static_cast<int>(state.running.size()) < state.max_batch;)
     {
         if (!is_ready(state, next->model))
         {
--- a/bench/variant.hpp
+++ b/bench/variant.hpp
@@ -21,21 +21,23 @@
     std::function<std::optional<endpoint_id>(const model_ref&, work_class,
                                              const std::vector<placement_candidate>&)>
         choose;
-    std::function<scheduler_actions(endpoint_scheduler&, fair_share&, const queued_request&,
-                                    instant)>
+    std::function<scheduler_actions(endpoint_scheduler&, fair_share&,
+                                    const queued_request&, instant)>
         on_request;
     std::function<scheduler_actions(endpoint_scheduler&, fair_share&, const request_id&,
                                     instant)>
         on_finished;
-    std::function<scheduler_actions(endpoint_scheduler&, fair_share&, const model_ref&, bool,
-                                    instant)>
+    std::function<scheduler_actions(endpoint_scheduler&, fair_share&, const model_ref&,
+                                    bool, instant)>
         on_load_ended;
-    std::function<scheduler_actions(endpoint_scheduler&, fair_share&, const model_ref&, bool,
-                                    instant)>
+    std::function<scheduler_actions(endpoint_scheduler&, fair_share&, const model_ref&,
+                                    bool, instant)>
         on_unload_ended;
-    std::function<scheduler_actions(endpoint_scheduler&, fair_share&, const model_ref&, instant)>
+    std::function<scheduler_actions(endpoint_scheduler&, fair_share&, const model_ref&,
+                                    instant)>
         on_permit;
-    std::function<scheduler_actions(endpoint_scheduler&, fair_share&, instant)> on_restarted;
+    std::function<scheduler_actions(endpoint_scheduler&, fair_share&, instant)>
+        on_restarted;
     std::function<scheduler_actions(endpoint_scheduler&, fair_share&, instant)> on_tick;
     // False: loads go to the store at once, which then queues them itself.
     bool uses_permits = true;
--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -92,8 +92,8 @@
             is_overnight(random) ? work_class::overnight : work_class::interactive;
         request.model = model_of(by_rank[rank(random)], request.priority);
         request.partner = partners[partner(random)];
-        request.tokens = request.priority == work_class::overnight ? report(random)
-                                                                   : answer(random);
+        request.tokens =
+            request.priority == work_class::overnight ? report(random) : answer(random);
         load.push_back(request);
     }
 }
--- a/bench/workload.hpp
+++ b/bench/workload.hpp
@@ -54,7 +54,8 @@
 };
 
 // The requests in order of arrival, from the options alone.
-std::vector<workload_request> make_workload(const workload_options& options, int adapters);
+std::vector<workload_request> make_workload(const workload_options& options,
+                                            int adapters);
 
 } // namespace pollenhaven::bench
 
--- a/modules/openai_engine/openai_engine.cpp
+++ b/modules/openai_engine/openai_engine.cpp
@@ -294,6 +294,9 @@
             break;
         const exchange resumed = run_exchange(
             address, resume_request(request, reader.next_position()), reader);
+        // Whoever resumes an earlier generation can't tell what became of it.
+        if (request.resume && resumed.status == status_not_found)
+            break;
         // An engine that is gone, or that doesn't know the stream any more, has crashed.
         if (!resumed.connected || resumed.status == status_not_found ||
             resumed.status == 0)
--- a/policy/endpoint_scheduler.cpp
+++ b/policy/endpoint_scheduler.cpp
@@ -459,9 +459,8 @@
     for (const queued_request& request : state.queue)
     {
         if (request.start_by <= now)
-            actions.emplace_back(
-                reject(state, request, "no_start_in_time",
-                       "the request could not start in time"));
+            actions.emplace_back(reject(state, request, "no_start_in_time",
+                                        "the request could not start in time"));
     }
     std::erase_if(state.queue,
                   [&](const queued_request& request) { return request.start_by <= now; });
--- a/policy/fair_share.hpp
+++ b/policy/fair_share.hpp
@@ -29,8 +29,8 @@
 // Counts work received, in tokens, here or on another owner.
 void charge(fair_share& shares, const partner_id& partner, double tokens);
 
-// How many of the queued requests are served before a new one of this partner: its own queue,
-// and what the others get meanwhile by their weights.
+// How many of the queued requests are served before a new one of this partner: its own
+// queue, and what the others get meanwhile by their weights.
 int requests_ahead(const fair_share& shares, const std::map<partner_id, int>& queued,
                    const partner_id& partner);
 
--- a/policy/ownership.cpp
+++ b/policy/ownership.cpp
@@ -31,11 +31,24 @@
     return eligible;
 }
 
-bool is_gone(const ownership_view& view, const daemon_id& owner)
+// True if the platform has removed the owner's instance.
+bool is_gone(const ownership_view& view, const ownership_record& record, instant now)
 {
-    if (!view.instances || view.seen_instances.count(owner.value) == 0)
+    if (!record.listed || view.members.count(record.owner) > 0)
         return false;
-    return view.instances->count(owner.value) == 0;
+    const auto absent = view.absent_since.find(record.owner);
+    return absent != view.absent_since.end() && now - absent->second >= view.gone_delay;
+}
+
+bool is_listed(const ownership_view& view, const daemon_id& daemon)
+{
+    return view.instances && view.instances->count(daemon.value) > 0;
+}
+
+bool may_take_any(const ownership_view& view, instant now)
+{
+    return !view.self_leaving && (is_listed(view, view.self) ||
+                                  now - view.self_started >= view.listing_patience);
 }
 
 const ownership_record* find_record(const ownership_document& document,
@@ -118,7 +131,7 @@
         return true;
     if (record.owner == view.self && record.incarnation != view.self_incarnation)
         return true;
-    if (is_gone(view, record.owner))
+    if (is_gone(view, record, now))
         return true;
     const auto entry = view.endpoints.find(endpoint);
     if (entry == view.endpoints.end() || !entry->second.checks_fencing)
@@ -139,14 +152,23 @@
     for (const auto& [endpoint, wanted] : desired_owners(view))
     {
         const ownership_record* record = find_record(view.current, endpoint);
-        if (wanted != view.self || view.self_leaving)
+        if (wanted != view.self)
             continue;
         if (record != nullptr && is_ours(view, *record))
+        {
+            if (!record->listed && is_listed(view, view.self))
+            {
+                next.endpoints[endpoint].listed = true;
+                changed = true;
+            }
             continue;
-        if (record != nullptr && !may_take_over(view, endpoint, *record, now))
+        }
+        if (!may_take_any(view, now) ||
+            (record != nullptr && !may_take_over(view, endpoint, *record, now)))
             continue;
         const std::uint64_t epoch = record == nullptr ? 1 : record->epoch.value + 1;
-        next.endpoints[endpoint] = {view.self, view.self_incarnation, {epoch}};
+        next.endpoints[endpoint] = {
+            view.self, view.self_incarnation, {epoch}, is_listed(view, view.self)};
         changed = true;
     }
     for (const auto& [endpoint, successor] : handovers(view))
--- a/policy/ownership.hpp
+++ b/policy/ownership.hpp
@@ -19,8 +19,9 @@
     daemon_id owner;
     incarnation_id incarnation;
     ownership_epoch epoch;
-
-    bool operator==(const ownership_record&) const = default;
+    // True once the owner has seen itself in the platform's instance list. Only then does
+    // its absence from the list prove that it is gone, and not that it is new.
+    bool listed = false;
 };
 
 // The region's ownership, kept under one key and changed by compare-and-swap only.
@@ -54,8 +55,8 @@
     ownership_document current;
     // Instances that the platform lists; nothing if the list can't be read.
     std::optional<std::map<std::string, instance_state>> instances;
-    // Instances that were listed at some time while this daemon ran.
-    std::map<std::string, bool> seen_instances;
+    // Since when each owner has been absent from the list without interruption.
+    std::map<daemon_id, instant> absent_since;
     // Since when each owner's lease has been missing while the service answered.
     std::map<daemon_id, instant> lease_missing_since;
     // Since when the service has answered without interruption.
@@ -65,6 +66,12 @@
     // How long a lease must have been missing before an endpoint that checks fencing
     // numbers is taken over.
     milliseconds take_over_delay{3000};
+    // Since when this daemon runs. It takes nothing before it is listed, so that its own
+    // end can be proved, unless the list doesn't show it for long.
+    instant self_started{};
+    milliseconds listing_patience{10000};
+    // How long an owner must have been absent from the instance list to count as gone.
+    milliseconds gone_delay{2000};
 };
 
 // Spreads the endpoints over the members: a live owner keeps what it has up to an even
--- a/policy/placement.cpp
+++ b/policy/placement.cpp
@@ -48,7 +48,8 @@
                         const placement_costs& costs)
 {
     const double service_ms = static_cast<double>(costs.service_time.count());
-    const double store_ms = milliseconds_per_second * waiting_loads / costs.loads_per_second;
+    const double store_ms =
+        milliseconds_per_second * waiting_loads / costs.loads_per_second;
     const double load_ms = static_cast<double>(costs.load_time.count()) + store_ms;
     const int batch = std::max(1, candidate.max_batch);
     const int ahead = std::max(0, candidate.queued + candidate.running - batch + 1);
@@ -61,16 +62,18 @@
         if (candidate.busy_slots >= candidate.slots)
             wait += static_cast<double>(costs.slot_wait.count());
         wait += static_cast<double>(rank * costs.rank_step.count());
-        wait += candidate.victim_heat * static_cast<double>(costs.victim_heat_step.count());
+        wait +=
+            candidate.victim_heat * static_cast<double>(costs.victim_heat_step.count());
     }
     // A fuller batch steps more slowly; among equals the emptier endpoint is better.
     wait += static_cast<double>(candidate.running) / batch;
     return wait;
 }
 
-std::optional<placement> choose_endpoint(const model_ref& adapter,
-                                         const std::vector<placement_candidate>& candidates,
-                                         const placement_costs& costs)
+std::optional<placement>
+choose_endpoint(const model_ref& adapter,
+                const std::vector<placement_candidate>& candidates,
+                const placement_costs& costs)
 {
     std::optional<placement> best;
     int rank = 0;
--- a/policy/placement.hpp
+++ b/policy/placement.hpp
@@ -33,8 +33,8 @@
     // wait.
     int busy_slots = 0;
     int slots = 1;
-    // How much the adapter was asked for lately that would be evicted there for a new one; 0
-    // while a slot is free.
+    // How much the adapter was asked for lately that would be evicted there for a new
+    // one; 0 while a slot is free.
     double victim_heat = 0;
     // Adapters there that wait for the store or are being loaded.
     int loading = 0;
@@ -50,19 +50,19 @@
     milliseconds load_time{250};
     // Loads that the store allows; every load that waits already makes the next one wait.
     double loads_per_second = 3.0;
-    // Expected wait for a slot where all are in use or awaited. While the engine is busy none
-    // may come free for long.
+    // Expected wait for a slot where all are in use or awaited. While the engine is busy
+    // none may come free for long.
     milliseconds slot_wait{6000};
     // Added for each step down the adapter's rendezvous order, so that all daemons agree
     // on where a cold adapter goes unless queues differ.
     milliseconds rank_step{60};
-    // Added for each unit of heat of the adapter that would be evicted: what is evicted has to
-    // be loaded again if it is asked for.
+    // Added for each unit of heat of the adapter that would be evicted: what is evicted
+    // has to be loaded again if it is asked for.
     milliseconds victim_heat_step{200};
 };
 
-// The expected wait in milliseconds before a request sent there now could start, with so many
-// loads waiting for the store in the whole region.
+// The expected wait in milliseconds before a request sent there now could start, with so
+// many loads waiting for the store in the whole region.
 double expected_wait_ms(const placement_candidate& candidate, int rank, int waiting_loads,
                         const placement_costs& costs);
 
@@ -77,9 +77,10 @@
 };
 
 // Chooses the endpoint with the shortest expected wait; nothing if all are excluded.
-std::optional<placement> choose_endpoint(const model_ref& adapter,
-                                         const std::vector<placement_candidate>& candidates,
-                                         const placement_costs& costs);
+std::optional<placement>
+choose_endpoint(const model_ref& adapter,
+                const std::vector<placement_candidate>& candidates,
+                const placement_costs& costs);
 
 // How long a request may be made to wait before it is better told to come back.
 struct patience_limits
--- a/policy/retry_policy.cpp
+++ b/policy/retry_policy.cpp
@@ -15,8 +15,8 @@
 bool is_final(const std::string& code)
 {
     static const std::array<const char*, 6> final_codes = {
-        "request_blocked", "idempotency_key_reused", "call_in_doubt", "claim_unavailable",
-        "deadline_exceeded", "no_start_in_time"};
+        "request_blocked",   "idempotency_key_reused", "call_in_doubt",
+        "claim_unavailable", "deadline_exceeded",      "no_start_in_time"};
     return std::find(final_codes.begin(), final_codes.end(), code) != final_codes.end();
 }
 
--- a/servers/claim_duty.cpp
+++ b/servers/claim_duty.cpp
@@ -52,22 +52,28 @@
 
 void claim_duty::record_answer(const std::string& key, store_revision claimed,
                                const claim_record& record, milliseconds patience)
+{
+    update_and_wait(key, claimed, record, patience);
+}
+
+void claim_duty::release(const std::string& key, store_revision claimed,
+                         milliseconds patience)
+{
+    update_and_wait(key, claimed, std::nullopt, patience);
+}
+
+void claim_duty::update_and_wait(const std::string& key, store_revision claimed,
+                                 const std::optional<claim_record>& record,
+                                 milliseconds patience)
 {
     const auto written = std::make_shared<std::promise<void>>();
     const std::future<void> done = written->get_future();
     if (!updates_.try_push({key, claimed, record, written}))
-        log_line(log_level::error, "the answer of a call could not be recorded",
-                 {{"key", key}});
+        log_line(log_level::error, "a claim could not be updated", {{"key", key}});
     else
         done.wait_for(patience);
 }
 
-void claim_duty::release(const std::string& key, store_revision claimed)
-{
-    if (!updates_.try_push({key, claimed, std::nullopt, nullptr}))
-        log_line(log_level::error, "a claim could not be released", {{"key", key}});
-}
-
 void claim_duty::run()
 {
     while (!wishes_.closed() || !pending_.empty())
--- a/servers/claim_duty.hpp
+++ b/servers/claim_duty.hpp
@@ -30,8 +30,9 @@
     // background.
     void record_answer(const std::string& key, store_revision claimed,
                        const claim_record& record, milliseconds patience);
-    // Gives a claim back whose call was not carried out.
-    void release(const std::string& key, store_revision claimed);
+    // Gives a claim back whose call was not carried out. Blocks like record_answer, so
+    // that a retry that follows finds the key free.
+    void release(const std::string& key, store_revision claimed, milliseconds patience);
 
 private:
     struct open_wish
@@ -51,6 +52,9 @@
     };
     using shared_wish = std::shared_ptr<open_wish>;
 
+    void update_and_wait(const std::string& key, store_revision claimed,
+                         const std::optional<claim_record>& record,
+                         milliseconds patience);
     void run();
     void collect();
     void decide_batch();
--- a/servers/cluster_state.cpp
+++ b/servers/cluster_state.cpp
@@ -66,7 +66,8 @@
     for (const auto& [endpoint, record] : document.endpoints)
         object["endpoints"][endpoint.value] = {{"owner", record.owner.value},
                                                {"incarnation", record.incarnation.value},
-                                               {"epoch", record.epoch.value}};
+                                               {"epoch", record.epoch.value},
+                                               {"listed", record.listed}};
     return object.dump();
 }
 
@@ -82,6 +83,7 @@
         record.owner = {entry.value("owner", "")};
         record.incarnation = {entry.value("incarnation", "")};
         record.epoch = {entry.value("epoch", std::uint64_t{0})};
+        record.listed = entry.value("listed", false);
     }
     return document;
 }
--- a/servers/daemon.cpp
+++ b/servers/daemon.cpp
@@ -83,7 +83,8 @@
         table.on_call = [this](peer_stream_id stream, const std::string& path,
                                const std::string& message)
         { answer(stream, path, message); };
-        table.on_cancelled = [this](peer_stream_id stream) { cancelled(stream); };
+        table.on_cancelled = [this](peer_stream_id stream, bool connection_lost)
+        { cancelled(stream, connection_lost); };
         return table;
     }
 
@@ -162,7 +163,7 @@
             transport_.reply(stream, "", true);
     }
 
-    void cancelled(peer_stream_id stream)
+    void cancelled(peer_stream_id stream, bool connection_lost)
     {
         if (!ready_)
             return;
@@ -176,7 +177,10 @@
             request = found->second;
             executing_.erase(found);
         }
-        owner_.cancel(request);
+        if (connection_lost)
+            owner_.receiver_lost(request);
+        else
+            owner_.cancel(request);
     }
 
     void forget(peer_stream_id stream)
--- a/servers/entry_router.cpp
+++ b/servers/entry_router.cpp
@@ -110,9 +110,9 @@
         candidate.queued = requests_ahead(shares, digest->queued, request_.partner);
         candidate.stalled = digest->stalled;
         candidate.victim_heat = digest->victim_heat;
-        candidate.loading = static_cast<int>(
-            std::count_if(digest->adapters.begin(), digest->adapters.end(),
-                          [](const auto& held) { return held.second == residency::loading; }));
+        candidate.loading = static_cast<int>(std::count_if(
+            digest->adapters.begin(), digest->adapters.end(),
+            [](const auto& held) { return held.second == residency::loading; }));
         candidate.running = digest->running;
         candidate.max_batch = digest->max_batch;
         candidate.busy_slots = digest->busy_slots;
@@ -134,12 +134,14 @@
         choose_endpoint(request_.model, candidates(), costs);
     if (!chosen)
         return std::nullopt;
-    const std::optional<milliseconds> come_back = refuse_for_now(
-        *chosen, request_.priority, request_.time_left, router_.context.settings.patience);
+    const std::optional<milliseconds> come_back =
+        refuse_for_now(*chosen, request_.priority, request_.time_left,
+                       router_.context.settings.patience);
     if (!come_back)
         return chosen->endpoint;
     last_failure_ = {verdict::not_run, 503, "overloaded",
-                     "the expected wait is longer than is useful; come back later", come_back};
+                     "the expected wait is longer than is useful; come back later",
+                     come_back};
     return std::nullopt;
 }
 
@@ -149,7 +151,7 @@
     {
         if (!events_ && !begin_attempt())
             return failed(last_failure_);
-        const execute_event event = wait_for_event();
+        execute_event event = wait_for_event();
         if (!event.final)
         {
             // Each token once and in order, whatever the way it came.
@@ -158,6 +160,10 @@
             ++history_.tokens_delivered;
             return event;
         }
+        // An answer that lacks tokens is not whole, whatever its end says.
+        if (event.run == verdict::completed && request_.service.empty() &&
+            event.tokens != history_.tokens_delivered)
+            event = lost_peer(true, owner_);
         if (!end_attempt(event))
             return event;
     }
--- a/servers/membership_duty.cpp
+++ b/servers/membership_duty.cpp
@@ -207,6 +207,7 @@
     view.self = context_.settings.id;
     view.self_incarnation = context_.incarnation;
     view.self_leaving = known->self_leaving;
+    view.self_started = started_;
     view.members = known->members;
     view.endpoints = known->document->endpoints;
     view.current = known->ownership;
@@ -252,15 +253,16 @@
 void membership_duty::read_instances()
 {
     const instant now = boot_clock::now();
-    if (now - last_instances_ < instance_list_interval)
+    const std::shared_ptr<const cluster_snapshot> before = context_.cluster.snapshot();
+    const bool is_listed =
+        before->instances && before->instances->count(context_.settings.id.value) > 0;
+    if (is_listed && now - last_instances_ < instance_list_interval)
         return;
     last_instances_ = now;
     std::optional<std::map<std::string, instance_state>> listed;
     try
     {
         listed = context_.instances.fetch();
-        for (const auto& [name, state] : *listed)
-            view_.seen_instances[name] = true;
     }
     catch (const std::runtime_error& error)
     {
@@ -268,6 +270,26 @@
                  {{"error", error.what()}});
     }
     context_.cluster.update([&](cluster_snapshot& known) { known.instances = listed; });
+    note_absent_owners(listed, now);
+}
+
+void membership_duty::note_absent_owners(
+    const std::optional<std::map<std::string, instance_state>>& listed, instant now)
+{
+    // A list that lacks this daemon too is not complete and proves nothing.
+    if (!listed || listed->count(context_.settings.id.value) == 0)
+    {
+        view_.absent_since.clear();
+        return;
+    }
+    const std::shared_ptr<const cluster_snapshot> known = context_.cluster.snapshot();
+    for (const auto& [endpoint, record] : known->ownership.endpoints)
+    {
+        if (listed->count(record.owner.value) > 0)
+            view_.absent_since.erase(record.owner);
+        else
+            view_.absent_since.emplace(record.owner, now);
+    }
 }
 
 void membership_duty::ask_peers_to_renew()
--- a/servers/membership_duty.hpp
+++ b/servers/membership_duty.hpp
@@ -41,6 +41,9 @@
     void change_ownership(instant now);
     void write_ownership(const ownership_document& planned);
     void read_instances();
+    void
+    note_absent_owners(const std::optional<std::map<std::string, instance_state>>& listed,
+                       instant now);
     void ask_peers_to_renew();
     ownership_view make_view() const;
     member_record self_record() const;
@@ -52,6 +55,7 @@
     member_record written_;
     ownership_view view_;
     std::string pending_write_id_;
+    const instant started_ = boot_clock::now();
     instant last_keep_alive_{};
     instant last_instances_{};
     std::atomic<std::uint64_t> lease_number_{0};
--- a/servers/owner_duty.cpp
+++ b/servers/owner_duty.cpp
@@ -19,6 +19,8 @@
 constexpr milliseconds report_interval{500};
 // Streams that break within this time after a crash belong to it.
 constexpr milliseconds crash_window{3000};
+// How long a request whose receiver's connection was lost is kept for it to come back.
+constexpr milliseconds resume_patience{10000};
 constexpr int service_concurrency = 32;
 constexpr int order_attempts = 3;
 constexpr milliseconds claim_patience{4000};
@@ -113,6 +115,11 @@
     post(cancel_event{request});
 }
 
+void owner_duty::receiver_lost(const request_id& request)
+{
+    post(receiver_lost_event{request});
+}
+
 std::vector<endpoint_digest> owner_duty::digests() const
 {
     const std::lock_guard lock(published_mutex_);
@@ -177,6 +184,7 @@
     const std::shared_ptr<const cluster_snapshot> known = context_.cluster.snapshot();
     follow_cluster(*known, now);
     charge_peers();
+    give_up_lost_receivers(now);
     {
         const std::lock_guard lock(published_mutex_);
         forget_old(published_crashes_, now);
@@ -340,17 +348,34 @@
         on_news_();
 }
 
-void owner_duty::handle(request_event& arrived)
+// Replaces an earlier reader of the same request, whose connection was lost.
+owner_duty::open_request& owner_duty::open_for(const execute_request& request,
+                                               event_sink sink, instant now)
 {
-    const instant now = boot_clock::now();
-    const execute_request& request = arrived.request;
-    open_request& open = open_[request.id];
+    const auto earlier = open_.find(request.id);
+    if (earlier != open_.end())
+    {
+        *earlier->second.superseded = true;
+        *earlier->second.cancelled = true;
+        --open_count_;
+    }
+    open_request& open = open_[request.id] = open_request{};
     open.request = request;
-    open.sink = std::move(arrived.sink);
+    open.sink = std::move(sink);
     open.arrived = now;
+    open.reader = ++last_reader_;
     open.cancelled = std::make_shared<std::atomic<bool>>(false);
+    open.superseded = std::make_shared<std::atomic<bool>>(false);
     open.queue_span = start_span("owner.queue", request.id.value,
                                  context_from_header(request.trace_parent));
+    return open;
+}
+
+void owner_duty::handle(request_event& arrived)
+{
+    const instant now = boot_clock::now();
+    const execute_request& request = arrived.request;
+    open_for(request, std::move(arrived.sink), now);
     merge(crashes_, request.fingerprint, request.crashes, now);
     const auto found = owned_.find(request.endpoint);
     if (found == owned_.end())
@@ -379,7 +404,9 @@
         reject(request.id, reason);
         return;
     }
-    carry_out(owned, on_request(owned.scheduler, shares_, to_queued(request, context_.settings.patience, now), now));
+    carry_out(owned,
+              on_request(owned.scheduler, shares_,
+                         to_queued(request, context_.settings.patience, now), now));
 }
 
 // Follows a generation that runs already; it holds its place in the scheduler, if it is
@@ -408,11 +435,33 @@
                   on_cancelled(owned->second.scheduler, shares_, id, boot_clock::now()));
 }
 
+void owner_duty::handle(const receiver_lost_event& lost)
+{
+    const auto found = open_.find(lost.request);
+    if (found != open_.end())
+        found->second.receiver_lost_at = boot_clock::now();
+}
+
+void owner_duty::give_up_lost_receivers(instant now)
+{
+    std::vector<request_id> given_up;
+    for (const auto& [id, open] : open_)
+    {
+        if (open.receiver_lost_at && now - *open.receiver_lost_at > resume_patience)
+            given_up.push_back(id);
+    }
+    for (const request_id& id : given_up)
+        handle(cancel_event{id});
+}
+
 void owner_duty::handle(ended_event& ended)
 {
     const instant now = boot_clock::now();
     owned_endpoint* owned = find(ended.endpoint, ended.epoch);
     const auto open = open_.find(ended.request);
+    // A later reader follows the same generation.
+    if (open != open_.end() && open->second.reader != ended.reader)
+        return;
     if (owned == nullptr || open == open_.end())
     {
         finish(ended.request, ended.result);
@@ -633,6 +682,8 @@
     const execute_request request = open.request;
     const event_sink sink = open.sink;
     const shared_flag cancelled = open.cancelled;
+    const shared_flag superseded = open.superseded;
+    const int reader = open.reader;
     const bool is_engine = owned.entry.kind == endpoint_kind::engine;
     const engine_client engine = owned.engine;
     const service_client service = owned.service;
@@ -641,25 +692,27 @@
         {
             span work = start_span("endpoint.call", request.id.value,
                                    context_from_header(request.trace_parent));
-            execute_event result =
-                is_engine ? generate(engine, endpoint, epoch, request, sink, cancelled)
-                          : call_service(service, endpoint, epoch, request);
+            execute_event result = is_engine
+                                       ? generate(engine, endpoint, epoch, request, sink,
+                                                  cancelled, superseded)
+                                       : call_service(service, endpoint, epoch, request);
             work.attributes = {{"endpoint", endpoint.value},
                                {"verdict", to_string(result.run)},
                                {"code", result.error.code},
                                {"tokens", std::to_string(result.tokens)}};
             context_.spans.record(std::move(work));
-            post(ended_event{endpoint, epoch, request.id, std::move(result)});
+            post(ended_event{endpoint, epoch, request.id, reader, std::move(result)});
         });
     if (!queued)
-        post(ended_event{endpoint, epoch, request.id,
+        post(ended_event{endpoint, epoch, request.id, reader,
                          final_event(not_run("owner_overloaded", "too many jobs wait"))});
 }
 
 execute_event owner_duty::generate(const engine_client& engine,
                                    const endpoint_id& endpoint, ownership_epoch epoch,
                                    const execute_request& request, const event_sink& sink,
-                                   const shared_flag& cancelled)
+                                   const shared_flag& cancelled,
+                                   const shared_flag& superseded)
 {
     // The last moment before the request reaches the endpoint's socket.
     if (!context_.guard.may_act_on(endpoint, epoch))
@@ -681,7 +734,7 @@
                             made_token.text = token.text;
                             return !*cancelled && sink(made_token);
                         });
-    if (made.run != verdict::completed && made.run != verdict::not_run)
+    if (made.run == verdict::may_have_run && !*superseded)
         engine.cancel(request.id);
     execute_event result = final_event(made.error);
     result.run = made.run;
@@ -716,7 +769,7 @@
     if (!context_.guard.may_act_on(endpoint, epoch))
     {
         if (!request.idempotent)
-            claims_.release(wish.key, claimed.revision);
+            claims_.release(wish.key, claimed.revision, record_patience);
         return final_event(not_run("ownership_lapsed", "the owner's lease has lapsed"));
     }
     service_call call;
@@ -729,7 +782,7 @@
     call.timeout = std::max(milliseconds(1000), request.time_left);
     const service_answer answer = service.call(call);
     if (!request.idempotent && answer.run == verdict::not_run)
-        claims_.release(wish.key, claimed.revision);
+        claims_.release(wish.key, claimed.revision, record_patience);
     if (!request.idempotent && answer.run == verdict::completed)
     {
         claim_record record = wish.record;
--- a/servers/owner_duty.hpp
+++ b/servers/owner_duty.hpp
@@ -42,6 +42,9 @@
     void submit(const execute_request& request, const event_sink& sink);
     // The receiver gave the request up. Thread-safe.
     void cancel(const request_id& request);
+    // The connection to the receiver was lost. The receiver may come back and resume, so
+    // the request is given up only after a while. Thread-safe.
+    void receiver_lost(const request_id& request);
 
     std::vector<endpoint_digest> digests() const;
     std::map<partner_id, double> served() const;
@@ -51,6 +54,8 @@
     void merge_crashes(const std::vector<crash_note>& notes);
 
 private:
+    using shared_flag = std::shared_ptr<std::atomic<bool>>;
+
     struct owned_endpoint
     {
         endpoint_entry entry;
@@ -74,7 +79,11 @@
         event_sink sink;
         instant arrived{};
         bool dispatched = false;
-        std::shared_ptr<std::atomic<bool>> cancelled;
+        // Tells apart the readers of a generation that was resumed.
+        int reader = 0;
+        shared_flag cancelled;
+        shared_flag superseded;
+        std::optional<instant> receiver_lost_at;
         span queue_span;
     };
     struct request_event
@@ -86,11 +95,16 @@
     {
         request_id request;
     };
+    struct receiver_lost_event
+    {
+        request_id request;
+    };
     struct ended_event
     {
         endpoint_id endpoint;
         ownership_epoch epoch;
         request_id request;
+        int reader = 0;
         execute_event result;
     };
     struct permit_event
@@ -114,9 +128,8 @@
         bool fencing_raised = false;
         std::optional<engine_report> report;
     };
-    using event = std::variant<request_event, cancel_event, ended_event, permit_event,
-                               order_event, report_event>;
-    using shared_flag = std::shared_ptr<std::atomic<bool>>;
+    using event = std::variant<request_event, cancel_event, receiver_lost_event,
+                               ended_event, permit_event, order_event, report_event>;
 
     void run();
     void tick(instant now);
@@ -130,6 +143,9 @@
 
     void handle(request_event& arrived);
     void handle(const cancel_event& cancelled);
+    void handle(const receiver_lost_event& lost);
+    void give_up_lost_receivers(instant now);
+    open_request& open_for(const execute_request& request, event_sink sink, instant now);
     void handle(ended_event& ended);
     void handle(const permit_event& granted);
     void handle(const order_event& ended);
@@ -152,7 +168,8 @@
 
     execute_event generate(const engine_client& engine, const endpoint_id& endpoint,
                            ownership_epoch epoch, const execute_request& request,
-                           const event_sink& sink, const shared_flag& cancelled);
+                           const event_sink& sink, const shared_flag& cancelled,
+                           const shared_flag& superseded);
     execute_event call_service(const service_client& service, const endpoint_id& endpoint,
                                ownership_epoch epoch, const execute_request& request);
     void post(const event& next);
@@ -171,6 +188,7 @@
     std::map<partner_id, double> peer_work_counted_;
     crash_ledger crashes_;
     bool news_ = false;
+    int last_reader_ = 0;
     instant last_tick_{};
     std::atomic<int> open_count_{0};
     std::atomic<bool> ended_{false};
--- a/servers/ownership_guard.cpp
+++ b/servers/ownership_guard.cpp
@@ -36,8 +36,10 @@
     const auto record = known->ownership.endpoints.find(endpoint);
     if (record == known->ownership.endpoints.end())
         return false;
-    const ownership_record expected{self_, incarnation_, epoch};
-    return record->second == expected && may_act_now();
+    const ownership_record& named = record->second;
+    const bool ours =
+        named.owner == self_ && named.incarnation == incarnation_ && named.epoch == epoch;
+    return ours && may_act_now();
 }
 
 } // namespace pollenhaven
--- a/servers/peer_messages.cpp
+++ b/servers/peer_messages.cpp
@@ -75,9 +75,10 @@
     json queued = json::object();
     for (const auto& [partner, count] : digest.queued)
         queued[partner.value] = count;
-    return {{"id", digest.id.value}, {"ready", digest.ready}, {"q", queued}, {"st", digest.stalled}, {"vh", digest.victim_heat},
-            {"r", digest.running},   {"b", digest.max_batch}, {"busy", digest.busy_slots},
-            {"slots", digest.slots}, {"a", adapters}};
+    return {{"id", digest.id.value}, {"ready", digest.ready},     {"q", queued},
+            {"st", digest.stalled},  {"vh", digest.victim_heat},  {"r", digest.running},
+            {"b", digest.max_batch}, {"busy", digest.busy_slots}, {"slots", digest.slots},
+            {"a", adapters}};
 }
 
 endpoint_digest to_endpoint_digest(const json& object)
--- a/servers/peer_table.cpp
+++ b/servers/peer_table.cpp
@@ -48,8 +48,7 @@
 }
 
 void peer_table::count_sent(const daemon_id& owner, const endpoint_id& id,
-                            const model_ref& model,
-                            const partner_id& partner)
+                            const model_ref& model, const partner_id& partner)
 {
     const std::lock_guard lock(mutex_);
     const auto peer = peers_.find(owner);
--- a/servers/peer_transport.cpp
+++ b/servers/peer_transport.cpp
@@ -222,7 +222,7 @@
             ended.handler({what, {}, true});
         }
         if (entry.served.erase(stream) > 0 && !orderly)
-            handlers_.on_cancelled({number, stream});
+            handlers_.on_cancelled({number, stream}, false);
     }
 
     // Closes a connection; every call and answer on it fails.
@@ -246,7 +246,7 @@
             call.handler({peer_event::kind::failed, {}, sent});
         }
         for (const std::int32_t stream : entry.served)
-            handlers_.on_cancelled({number, stream});
+            handlers_.on_cancelled({number, stream}, true);
     }
 
     void wait_and_serve()
--- a/servers/peer_transport.hpp
+++ b/servers/peer_transport.hpp
@@ -54,8 +54,8 @@
         // A peer's call arrived whole.
         std::function<void(peer_stream_id, const std::string& path, std::string message)>
             on_call;
-        // A peer gave its call up, or its connection was lost.
-        std::function<void(peer_stream_id)> on_cancelled;
+        // A peer gave its call up, or its connection was lost; then it may come back.
+        std::function<void(peer_stream_id, bool connection_lost)> on_cancelled;
     };
 
     // Listens at once. Throws std::runtime_error if the address can't be bound.
--- a/tests/demo/demo.cpp
+++ b/tests/demo/demo.cpp
@@ -1,5 +1,5 @@
-// The demo: starts a deployment's stand-ins and daemons, sends a seeded load of callers, and
-// compares what callers got with what the stand-ins saw.
+// The demo: starts a deployment's stand-ins and daemons, sends a seeded load of callers,
+// and compares what callers got with what the stand-ins saw.
 
 #include "tests/harness/cluster.hpp"
 
@@ -119,7 +119,8 @@
     return load;
 }
 
-// Asks daemons in turn which address to use, and keeps the answer for a while, as callers do.
+// Asks daemons in turn which address to use, and keeps the answer for a while, as callers
+// do.
 class address_book
 {
 public:
@@ -169,7 +170,8 @@
     result.first_token_s = answer.first_token_s;
 }
 
-outcome send(const cluster& deployment, address_book& book, const planned_request& planned)
+outcome send(const cluster& deployment, address_book& book,
+             const planned_request& planned)
 {
     const auto start = steady::now();
     outcome result;
@@ -191,7 +193,8 @@
     return result;
 }
 
-std::vector<outcome> run_load(const cluster& deployment, const std::vector<planned_request>& load)
+std::vector<outcome> run_load(const cluster& deployment,
+                              const std::vector<planned_request>& load)
 {
     std::vector<outcome> outcomes(load.size());
     std::vector<std::thread> callers;
@@ -200,7 +203,8 @@
     const auto start = steady::now();
     for (const planned_request& planned : load)
     {
-        std::this_thread::sleep_until(start + std::chrono::duration<double>(planned.at_s));
+        std::this_thread::sleep_until(start +
+                                      std::chrono::duration<double>(planned.at_s));
         callers.emplace_back(
             [&, planned]
             {
@@ -240,7 +244,8 @@
         resent += result.resent;
     }
     std::cout << std::left << std::setw(11) << name << std::right << std::setw(8)
-              << first.size() << std::setw(9) << resent << std::fixed << std::setprecision(3);
+              << first.size() << std::setw(9) << resent << std::fixed
+              << std::setprecision(3);
     const std::vector<double>& shown = kind == caller_kind::booking ? total : first;
     for (const double part : {0.5, 0.95, 0.99})
         std::cout << std::setw(10) << percentile(shown, part);
@@ -249,8 +254,9 @@
 
 void print_table(const cluster& deployment, const std::vector<outcome>& outcomes)
 {
-    std::cout << "\ncallers      number   resent    p50 s     p95 s     p99 s   (first token; "
-                 "bookings: answer)\n";
+    std::cout
+        << "\ncallers      number   resent    p50 s     p95 s     p99 s   (first token; "
+           "bookings: answer)\n";
     print_kind("residents", caller_kind::resident, outcomes);
     print_kind("wards", caller_kind::ward, outcomes);
     print_kind("overnight", caller_kind::overnight, outcomes);
@@ -339,9 +345,9 @@
     for (const running_daemon& daemon : deployment.daemons)
         std::cout << "  " << daemon.id << " " << daemon.caller_address << '\n';
     std::cout << "try:\n  curl -s http://" << address << "/v1/entry\n  curl -sN http://"
-              << address << "/v1/chat/completions -d '" << chat_body(model, "kapok?", 16, true)
-              << "'\n  curl -s http://" << address << "/v1/services/"
-              << deployment.options.service
+              << address << "/v1/chat/completions -d '"
+              << chat_body(model, "kapok?", 16, true) << "'\n  curl -s http://" << address
+              << "/v1/services/" << deployment.options.service
               << "/entries -H 'Idempotency-Key: try-1' -d '{}'\nCtrl-C stops everything."
               << std::endl;
     sigset_t signals;
@@ -354,14 +360,17 @@
 
 demo_options parse(int count, char** arguments)
 {
-    TCLAP::CmdLine line("Runs a whole pollenhaven deployment on this machine.", ' ', "0.1.0");
-    const TCLAP::SwitchArg kitamura("", "kitamura", "Kitamura's sizes, not Suva's.", line);
+    TCLAP::CmdLine line("Runs a whole pollenhaven deployment on this machine.", ' ',
+                        "0.1.0");
+    const TCLAP::SwitchArg kitamura("", "kitamura", "Kitamura's sizes, not Suva's.",
+                                    line);
     const TCLAP::SwitchArg keep("", "keep", "Leave it running until interrupted.", line);
-    const TCLAP::ValueArg<unsigned int> seed("", "seed", "Seed of the load.", false, 1, "N",
-                                             line);
-    const TCLAP::ValueArg<double> seconds("", "seconds", "Length of the load.", false, 40, "S",
-                                          line);
-    const TCLAP::ValueArg<double> rate("", "rate", "Requests a second.", false, 5, "R", line);
+    const TCLAP::ValueArg<unsigned int> seed("", "seed", "Seed of the load.", false, 1,
+                                             "N", line);
+    const TCLAP::ValueArg<double> seconds("", "seconds", "Length of the load.", false, 40,
+                                          "S", line);
+    const TCLAP::ValueArg<double> rate("", "rate", "Requests a second.", false, 5, "R",
+                                       line);
     line.parse(count, arguments);
     return {kitamura.getValue(), keep.getValue(), seed.getValue(), seconds.getValue(),
             rate.getValue()};
@@ -387,7 +396,8 @@
         keep_running(deployment);
         return stop_daemons(deployment);
     }
-    const std::vector<planned_request> load = plan_load(given, deployment.options.adapters);
+    const std::vector<planned_request> load =
+        plan_load(given, deployment.options.adapters);
     const std::vector<outcome> outcomes = run_load(deployment, load);
     const int code = report(deployment, load, outcomes);
     return stop_daemons(deployment) > 0 ? 1 : code;
--- a/tests/harness/background_load.cpp
+++ b/tests/harness/background_load.cpp
@@ -14,8 +14,9 @@
 
 } // namespace
 
-background_load::background_load(const cluster& deployment, std::vector<std::string> addresses,
-                                 int callers, int models)
+background_load::background_load(const cluster& deployment,
+                                 std::vector<std::string> addresses, int callers,
+                                 int models)
     : deployment_(deployment), addresses_(std::move(addresses)), models_(models)
 {
     for (int i = 0; i < callers; ++i)
--- a/tests/harness/background_load.hpp
+++ b/tests/harness/background_load.hpp
@@ -22,7 +22,8 @@
     int cut = 0;
     // Answers other than served, by error code.
     std::map<std::string, int> failed;
-    // Booking keys by what their callers were told: "completed", "not_run", "may_have_run".
+    // Booking keys by what their callers were told: "completed", "not_run",
+    // "may_have_run".
     std::map<std::string, std::vector<std::string>> bookings;
 };
 
--- a/tests/process/ownership_test.cpp
+++ b/tests/process/ownership_test.cpp
@@ -22,7 +22,8 @@
     return all;
 }
 
-std::vector<std::string> addresses_without(const cluster& deployment, const std::string& id)
+std::vector<std::string> addresses_without(const cluster& deployment,
+                                           const std::string& id)
 {
     std::vector<std::string> others;
     for (const running_daemon& daemon : deployment.daemons)
@@ -48,7 +49,8 @@
     const nlohmann::json report =
         get(deployment.daemons[asked].caller_address, "/v1/endpoints").parsed();
     for (const nlohmann::json& line : report)
-        found[line.value("endpoint", "")] = {line.value("owner", ""), line.value("epoch", 0)};
+        found[line.value("endpoint", "")] = {line.value("owner", ""),
+                                             line.value("epoch", 0)};
     return found;
 }
 
@@ -162,8 +164,8 @@
 
 BOOST_AUTO_TEST_CASE(a_daemon_that_reaches_neither_service_nor_peers_stops_taking_work)
 {
-    cluster deployment({.daemons = 3, .engines = 3, .relay_key_value = true,
-                        .relay_peers = true});
+    cluster deployment(
+        {.daemons = 3, .engines = 3, .relay_key_value = true, .relay_peers = true});
     deployment.wait_ready();
     // The others' addresses are cut too, so that the first daemon reaches none of them.
     for (const running_daemon& daemon : deployment.daemons)
@@ -186,13 +188,12 @@
     cluster deployment({.daemons = 3, .engines = 3});
     deployment.wait_ready();
     running_daemon& leaving = deployment.daemons[0];
-    background_load load(deployment,
-                         {deployment.daemons[1].caller_address,
-                          deployment.daemons[2].caller_address});
+    background_load load(deployment, {deployment.daemons[1].caller_address,
+                                      deployment.daemons[2].caller_address});
     const std::string model = deployment.model(1);
     stream_answer long_answer;
-    std::thread caller([&]
-                       { long_answer = stream_chat(leaving.caller_address, model, "long", 400); });
+    std::thread caller(
+        [&] { long_answer = stream_chat(leaving.caller_address, model, "long", 400); });
     std::this_thread::sleep_for(seconds(1));
     leaving.program->signal(SIGTERM);
     std::this_thread::sleep_for(seconds(3));
