--- a/bench/variant.cpp
+++ b/bench/variant.cpp
@@ -33,16 +33,21 @@
     return slot != state.residents.end() && slot->second.state == slot_state::ready;
 }
 
+bool is_awaited(const endpoint_scheduler& state, const model_ref& adapter)
+{
+    return std::any_of(state.queue.begin(), state.queue.end(),
+                       [&](const queued_request& request)
+                       { return request.model == adapter; });
+}
+
 std::optional<model_ref> least_recently_used(const endpoint_scheduler& state)
 {
     std::optional<model_ref> victim;
     instant oldest{};
     for (const auto& [adapter, slot] : state.residents)
     {
-        const bool awaited = std::any_of(state.queue.begin(), state.queue.end(),
-                                         [&](const queued_request& request)
-                                         { return request.model == adapter; });
-        if (slot.state != slot_state::ready || slot.in_use > 0 || awaited)
+        if (slot.state != slot_state::ready || slot.in_use > 0 ||
+            is_awaited(state, adapter))
             continue;
         if (victim && slot.last_used >= oldest)
             continue;
--- a/servers/daemon_settings.cpp
+++ b/servers/daemon_settings.cpp
@@ -54,6 +54,22 @@
     return milliseconds(reader.number(key, fallback.count(), 1, highest_duration_ms));
 }
 
+void read_seed_peers(daemon_settings& settings, toml_reader& reader)
+{
+    for (const std::string& address : reader.texts("seed_peers"))
+    {
+        settings.seed_peers.push_back({address});
+        try
+        {
+            split_address(settings.seed_peers.back());
+        }
+        catch (const std::runtime_error& error)
+        {
+            reader.fault_at("seed_peers", std::string("is wrong: ") + error.what());
+        }
+    }
+}
+
 void read_daemon(daemon_settings& settings, toml_reader& reader)
 {
     settings.id = {reader.required_text("id")};
@@ -63,6 +79,7 @@
     settings.peer_address = read_address(reader, "peer_address", "");
     settings.advertised_peer_address =
         read_address(reader, "advertised_peer_address", settings.peer_address.value);
+    read_seed_peers(settings, reader);
 }
 
 void read_platform(daemon_settings& settings, toml_reader& reader)
--- a/servers/daemon_settings.hpp
+++ b/servers/daemon_settings.hpp
@@ -7,6 +7,7 @@
 
 #include <stdexcept>
 #include <string>
+#include <vector>
 
 namespace pollenhaven
 {
@@ -29,6 +30,8 @@
     network_address peer_address;
     // What peers connect to, if it differs from the address listened on.
     network_address advertised_peer_address;
+    // Peers to ask when the key-value service can't tell of any.
+    std::vector<network_address> seed_peers;
     std::string key_value_module;
     std::string key_value_address;
     std::string instance_list_module;
--- a/servers/gossip_duty.cpp
+++ b/servers/gossip_duty.cpp
@@ -75,33 +75,51 @@
     message.endpoints = owner_.digests();
     message.served = owner_.served();
     message.crashes = owner_.crash_notes();
+    message.wants_state = known->members.count(context_.settings.id) == 0;
     return message;
 }
 
+std::map<incarnation_id, network_address> gossip_duty::receivers() const
+{
+    const std::shared_ptr<const cluster_snapshot> known = context_.cluster.snapshot();
+    std::map<incarnation_id, network_address> found;
+    for (const auto& [id, member] : known->known_members)
+    {
+        if (id != context_.settings.id)
+            found[member.incarnation] = member.peer_address;
+    }
+    if (!found.empty())
+        return found;
+    // Started in an outage, this daemon knows nobody but those its settings name.
+    for (const network_address& seed : context_.settings.seed_peers)
+        found[{seed.value}] = seed;
+    return found;
+}
+
 void gossip_duty::send_all()
 {
     gossip_message message = make_message();
     const instant now = boot_clock::now();
     context_.peers.merge(message, now);
+    context_.metrics.set("pollenhaven_peer_bytes_sent",
+                         static_cast<double>(transport_.bytes_sent()));
+    context_.metrics.set("pollenhaven_peer_bytes_received",
+                         static_cast<double>(transport_.bytes_received()));
     const std::string endpoints = endpoints_text(message);
-    const std::shared_ptr<const cluster_snapshot> known = context_.cluster.snapshot();
     const bool heartbeat = ++intervals_ % heartbeat_intervals == 0;
-    for (const auto& [id, member] : known->known_members)
+    for (const auto& [incarnation, address] : receivers())
     {
-        if (id == context_.settings.id)
+        message.has_endpoints = !has_acknowledged(incarnation, endpoints);
+        if (!message.has_endpoints && !heartbeat && !message.wants_state)
             continue;
-        message.has_endpoints = !has_acknowledged(member.incarnation, endpoints);
-        if (!message.has_endpoints && !heartbeat)
-            continue;
-        transport_.call(
-            member.peer_address, gossip_path, encode(message),
-            [this, endpoints, peer = member.incarnation](const peer_event& event)
-            {
-                if (event.what != peer_event::kind::message)
-                    return;
-                note_acknowledged(peer, endpoints);
-                adopt(decode_gossip_answer(event.message));
-            });
+        transport_.call(address, gossip_path, encode(message),
+                        [this, endpoints, peer = incarnation](const peer_event& event)
+                        {
+                            if (event.what != peer_event::kind::message)
+                                return;
+                            note_acknowledged(peer, endpoints);
+                            adopt(decode_gossip_answer(event.message));
+                        });
     }
 }
 
@@ -131,6 +149,8 @@
             [&](cluster_snapshot& snapshot)
             { adopt_ownership(snapshot, document, answer.ownership_revision); });
     }
+    if (!answer.state.empty())
+        adopt_members(answer);
     if (answer.sections.empty())
         return;
     store_revision newest;
@@ -140,6 +160,20 @@
                             { adopt_sections(snapshot, answer.sections, newest); });
 }
 
+void gossip_duty::adopt_members(const gossip_answer& answer)
+{
+    context_.cluster.update(
+        [&](cluster_snapshot& snapshot)
+        {
+            for (const std::string& text : answer.members)
+            {
+                const member_record member = decode_member(text);
+                snapshot.known_members.emplace(member.id, member);
+            }
+        });
+    context_.peers.merge(decode_gossip_message(answer.state), boot_clock::now());
+}
+
 gossip_answer gossip_duty::answer(const gossip_message& message)
 {
     context_.peers.merge(message, boot_clock::now());
@@ -149,6 +183,12 @@
     reply.ownership_revision = known->ownership_revision;
     if (known->ownership_revision > message.ownership_revision)
         reply.ownership = encode_ownership(known->ownership);
+    if (message.wants_state)
+    {
+        for (const auto& [id, member] : known->known_members)
+            reply.members.push_back(encode_member(member));
+        reply.state = encode(make_message());
+    }
     if (known->document_revision > message.document_revision)
     {
         for (const auto& [name, section] : *known->sections)
--- a/servers/gossip_duty.hpp
+++ b/servers/gossip_duty.hpp
@@ -34,6 +34,8 @@
     gossip_message make_message() const;
     bool has_acknowledged(const incarnation_id& peer, const std::string& endpoints);
     void note_acknowledged(const incarnation_id& peer, const std::string& endpoints);
+    std::map<incarnation_id, network_address> receivers() const;
+    void adopt_members(const gossip_answer& answer);
     void adopt(const gossip_answer& answer);
 
     daemon_context& context_;
--- a/servers/peer_messages.cpp
+++ b/servers/peer_messages.cpp
@@ -200,6 +200,8 @@
                    {"doc", message.document_revision.value}};
     if (message.leaving)
         object["leaving"] = true;
+    if (message.wants_state)
+        object["wants"] = true;
     if (message.has_endpoints)
     {
         object["endpoints"] = json::array();
@@ -225,6 +227,7 @@
             message.ownership_revision = {object.value("own", std::uint64_t{0})};
             message.document_revision = {object.value("doc", std::uint64_t{0})};
             message.leaving = object.value("leaving", false);
+            message.wants_state = object.value("wants", false);
             message.has_endpoints = object.contains("endpoints");
             for (const json& digest : object.value("endpoints", json::array()))
                 message.endpoints.push_back(to_endpoint_digest(digest));
@@ -247,6 +250,11 @@
         object["sections"].push_back({{"name", section.name},
                                       {"text", section.text},
                                       {"revision", section.revision.value}});
+    if (!message.state.empty())
+    {
+        object["members"] = message.members;
+        object["state"] = message.state;
+    }
     return pack(std::move(object));
 }
 
@@ -259,6 +267,8 @@
             gossip_answer message;
             message.ownership_revision = {object.value("own", std::uint64_t{0})};
             message.ownership = object.value("ownership", "");
+            message.members = object.value("members", std::vector<std::string>{});
+            message.state = object.value("state", "");
             for (const json& section : object.value("sections", json::array()))
                 message.sections.push_back(
                     {section.value("name", ""),
--- a/servers/peer_messages.hpp
+++ b/servers/peer_messages.hpp
@@ -111,6 +111,8 @@
     // start.
     std::map<partner_id, double> served;
     std::vector<crash_note> crashes;
+    // Set by a daemon that can't learn of the members from the key-value service.
+    bool wants_state = false;
 };
 
 // The answer carries what the sender of the message doesn't have yet.
@@ -119,6 +121,10 @@
     store_revision ownership_revision;
     std::string ownership;
     std::vector<document_section> sections;
+    // For a sender that wants state: the members, each as in the key-value service, and
+    // the answering daemon's own message.
+    std::vector<std::string> members;
+    std::string state;
 };
 
 struct renew_request
--- a/tests/harness/background_load.cpp
+++ b/tests/harness/background_load.cpp
@@ -54,7 +54,8 @@
 
 void background_load::ask(int caller, int turn)
 {
-    const auto number = static_cast<std::size_t>(caller + turn);
+    const std::size_t number =
+        static_cast<std::size_t>(caller) + static_cast<std::size_t>(turn);
     const std::string& address = addresses_[number % addresses_.size()];
     const std::string model = deployment_.model((caller + turn) % models_);
     const std::string prompt = std::to_string(caller) + "-" + std::to_string(turn);
@@ -74,7 +75,8 @@
 
 void background_load::book(int caller, int turn)
 {
-    const auto number = static_cast<std::size_t>(caller + turn);
+    const std::size_t number =
+        static_cast<std::size_t>(caller) + static_cast<std::size_t>(turn);
     const std::string key = "load-" + std::to_string(caller) + "-" + std::to_string(turn);
     const http_answer answer =
         post(addresses_[number % addresses_.size()],
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -25,6 +25,33 @@
     return "--" + name + "=" + std::to_string(value);
 }
 
+std::string in_quotes(const std::string& text)
+{
+    return "\"" + text + "\"";
+}
+
+// One of the examples in config/, which the demo and the tests use.
+std::string read_example(const std::string& name)
+{
+    std::ifstream file(std::string(POLLENHAVEN_CONFIG_FOLDER) + "/" + name);
+    if (!file)
+        throw std::runtime_error("the example " + name + " can't be read");
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+// Replaces the value in the line that sets the key.
+void set_value(std::string& text, const std::string& key, const std::string& value)
+{
+    const std::string start = "\n" + key + " = ";
+    const std::size_t line = text.find(start);
+    if (line == std::string::npos)
+        throw std::runtime_error("the example doesn't set " + key);
+    const std::size_t from = line + start.size();
+    text.replace(from, text.find('\n', from) - from, value);
+}
+
 std::string make_folder()
 {
     std::string pattern =
@@ -60,22 +87,21 @@
     }
     for (int i = 0; i < options.service_workers; ++i)
         services.push_back(start_standin("service", {}));
-    document_ = make_document();
-    const std::string file = write_file("document.toml", document_);
-    std::string said;
-    if (control_tool({"config", "apply", "--section", options.partner, "--file", file},
-                     &said) != 0)
-        throw std::runtime_error("the document was refused: " + said);
+    apply_section(options.partner, read_example(options.partner + ".document.toml"));
+    apply_section("fleet", make_fleet_section());
     for (int i = 0; i < options.daemons; ++i)
     {
         running_daemon daemon;
         daemon.id = options.partner + "-entry-" + std::to_string(i + 1);
         daemon.caller_address = loopback(free_port());
         daemon.peer_address = loopback(free_port());
-        write_settings(daemon, static_cast<std::size_t>(i));
         daemons.push_back(std::move(daemon));
-        set_instance(daemons.back().id, "live");
-        start_daemon(static_cast<std::size_t>(i));
+    }
+    for (std::size_t i = 0; i < daemons.size(); ++i)
+    {
+        write_settings(daemons[i], i);
+        set_instance(daemons[i].id, "live");
+        start_daemon(i);
     }
 }
 
@@ -108,14 +134,16 @@
     return options.partner + "-" + std::to_string(number) + "@v1";
 }
 
-std::string cluster::make_document() const
+void cluster::apply_section(const std::string& name, const std::string& text)
+{
+    const std::string file = write_file(name + ".toml", text);
+    if (control_tool({"config", "apply", "--section", name, "--file", file}) != 0)
+        throw std::runtime_error("section " + name + " was refused; see " + folder);
+}
+
+std::string cluster::make_fleet_section() const
 {
     std::ostringstream text;
-    text << "[[partner]]\nname = \"" << options.partner << "\"\nweight = 1.0\n\n";
-    text << "[store]\nloads_per_second = " << options.milliloads_per_second / 1000.0
-         << "\n\n";
-    text << "[[service]]\nname = \"" << options.service << "\"\npartner = \""
-         << options.partner << "\"\nidempotent = false\n\n";
     for (std::size_t i = 0; i < engines.size(); ++i)
         text << "[[endpoint]]\nname = \"engine-" << i << "\"\naddress = \""
              << engine_addresses_[i] << "\"\nchecks_fencing = "
@@ -149,19 +177,30 @@
         advertised = loopback(free_port());
         daemon.peer_relay = self.start_relay(advertised, daemon.peer_address);
     }
-    std::ostringstream text;
-    text << "[daemon]\nid = \"" << daemon.id << "\"\nregion = \"" << options.region
-         << "\"\nzone = \"" << options.zones[number % options.zones.size()]
-         << "\"\ncaller_address = \"" << daemon.caller_address << "\"\npeer_address = \""
-         << daemon.peer_address << "\"\nadvertised_peer_address = \"" << advertised
-         << "\"\n\n[platform]\nkey_value_address = \"" << key_value_address
-         << "\"\ninstance_list_address = \"" << instances
-         << "\"\n\n[lease]\ntime_to_live_ms = " << options.lease_ms
-         << "\nmargin_ms = 500\ntake_over_delay_ms = 2000\n\n[limits]\nreport_lag_ms = "
-         << options.report_lag_ms
-         << "\ncaller_threads = 96\ndispatch_threads = 96\n\n[telemetry]\nspan_file = \""
-         << folder << "/" << daemon.id << ".spans\"\n";
-    daemon.settings_file = write_file(daemon.id + ".toml", text.str());
+    std::string text = read_example(options.partner + ".daemon.toml");
+    set_value(text, "id", in_quotes(daemon.id));
+    set_value(text, "region", in_quotes(options.region));
+    set_value(text, "zone", in_quotes(options.zones[number % options.zones.size()]));
+    set_value(text, "caller_address", in_quotes(daemon.caller_address));
+    set_value(text, "peer_address",
+              in_quotes(daemon.peer_address) +
+                  "\nadvertised_peer_address = " + in_quotes(advertised));
+    set_value(text, "key_value_address", in_quotes(key_value_address));
+    set_value(text, "instance_list_address", in_quotes(instances));
+    set_value(text, "time_to_live_ms", std::to_string(options.lease_ms));
+    set_value(text, "margin_ms", "500");
+    set_value(text, "take_over_delay_ms", "2000");
+    std::string seeds;
+    for (const running_daemon& other : daemons)
+        seeds += (seeds.empty() ? "" : ", ") + in_quotes(other.peer_address);
+    set_value(text, "seed_peers", "[" + seeds + "]");
+    const std::string threads = std::to_string(options.threads);
+    text +=
+        "report_lag_ms = " + std::to_string(options.report_lag_ms) +
+        "\ncaller_threads = " + threads + "\ndispatch_threads = " + threads +
+        "\n\n[telemetry]\nspan_file = " + in_quotes(folder + "/" + daemon.id + ".spans") +
+        "\n";
+    daemon.settings_file = write_file(daemon.id + ".toml", text);
 }
 
 void cluster::start_daemon(std::size_t number)
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -36,6 +36,7 @@
     bool relay_engines = false;
     int lease_ms = 4000;
     int report_lag_ms = 500;
+    int threads = 96;
 };
 
 struct running_daemon
@@ -74,7 +75,6 @@
     std::map<std::string, int> carried_out() const;
     std::string owner_of(const std::string& endpoint, std::size_t asked = 0) const;
     running_daemon& daemon_named(const std::string& id);
-    const std::string& document() const { return document_; }
     std::string model(int number) const;
 
     cluster_options options;
@@ -91,12 +91,12 @@
     std::string start_standin(const std::string& role,
                               const std::vector<std::string>& more);
     std::string start_relay(const std::string& listen, const std::string& target);
-    std::string make_document() const;
+    void apply_section(const std::string& name, const std::string& text);
+    std::string make_fleet_section() const;
     void write_settings(running_daemon& daemon, std::size_t number) const;
 
     std::vector<std::unique_ptr<process>> standins_;
     std::vector<std::string> engine_addresses_;
-    std::string document_;
 };
 
 // Waits until the condition holds; false if it doesn't in time.
--- a/tests/harness/process.cpp
+++ b/tests/harness/process.cpp
@@ -6,8 +6,10 @@
 #include <cstdlib>
 #include <cstring>
 #include <fcntl.h>
+#include <fstream>
 #include <netinet/in.h>
 #include <spawn.h>
+#include <sstream>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -121,6 +123,33 @@
     return pid_ > 0 && !wait(std::chrono::milliseconds(0));
 }
 
+double process::processor_s() const
+{
+    std::ifstream stat("/proc/" + std::to_string(pid_) + "/stat");
+    std::string text;
+    std::getline(stat, text);
+    std::istringstream fields(text.substr(text.rfind(')') + 2));
+    // After the name come the state and ten numbers, then user and system time in ticks.
+    constexpr int fields_before_times = 11;
+    std::string skipped;
+    for (int i = 0; i < fields_before_times; ++i)
+        fields >> skipped;
+    double user = 0;
+    double system = 0;
+    fields >> user >> system;
+    return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
+}
+
+double process::resident_mb() const
+{
+    std::ifstream statm("/proc/" + std::to_string(pid_) + "/statm");
+    double pages = 0;
+    double resident = 0;
+    statm >> pages >> resident;
+    constexpr double bytes_per_megabyte = 1e6;
+    return resident * static_cast<double>(sysconf(_SC_PAGESIZE)) / bytes_per_megabyte;
+}
+
 int free_port()
 {
     const int number = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -143,7 +172,9 @@
     const ssize_t length = readlink("/proc/self/exe", self.data(), self.size() - 1);
     const std::string path(self.data(),
                            static_cast<std::size_t>(std::max<ssize_t>(0, length)));
-    const std::string build = path.substr(0, path.rfind("/tests/"));
+    // Programs that use this lie in tests/ or bench/ of the build folder.
+    const std::string folder = path.substr(0, path.rfind('/'));
+    const std::string build = folder.substr(0, folder.rfind('/'));
     const bool is_standin = name == "pollenhaven-standin";
     return build + (is_standin ? "/tests/standins/" : "/main/") + name;
 }
--- a/tests/harness/process.hpp
+++ b/tests/harness/process.hpp
@@ -31,6 +31,9 @@
     // Waits for the end; nothing if it doesn't come in time. Negative: ended by a signal.
     std::optional<int> wait(std::chrono::milliseconds timeout);
     bool running();
+    // Processor time used so far, in seconds, and resident memory, in megabytes.
+    double processor_s() const;
+    double resident_mb() const;
 
 private:
     pid_t pid_ = -1;
--- a/tests/process/config_test.cpp
+++ b/tests/process/config_test.cpp
@@ -129,14 +129,40 @@
 {
     cluster deployment({.daemons = 1, .engines = 1});
     deployment.wait_ready();
-    for (const char* text : {"[[adapter]]\nname = \"x\"\n",
-                             "[[adapter]]\nname = \"x\"\nversions = [\"v1\"]\n"
-                             "partner = \"nobody\"\n",
-                             "[[partner]]\nname = \"suva\"\n", "[oops]\n", "not toml"})
+    const std::vector<std::string> faulty = {
+        "[[adapter]]\nname = \"x\"\n",
+        adapter_text("x") + "colour = 1\n",
+        "[[adapter]]\nname = \"x\"\nversions = [\"v1\"]\npartner = \"nobody\"\n",
+        "[[partner]]\nname = \"suva\"\n",
+        "[oops]\n",
+        "not toml"};
+    for (const std::string& text : faulty)
         BOOST_TEST(apply(deployment, "faulty", text) == exit_bad_input);
     BOOST_TEST(serves(deployment.daemons[0], deployment.model(0)));
 }
 
+BOOST_AUTO_TEST_CASE(a_daemon_restarted_in_an_outage_learns_from_its_peers)
+{
+    cluster deployment({.daemons = 3, .engines = 2});
+    deployment.wait_ready();
+    // One that owns no engine, so that the engines keep serving.
+    std::size_t restarted = 0;
+    for (std::size_t i = 0; i < deployment.daemons.size(); ++i)
+    {
+        const std::string& id = deployment.daemons[i].id;
+        if (deployment.owner_of("engine-0") != id &&
+            deployment.owner_of("engine-1") != id)
+            restarted = i;
+    }
+    control(deployment.key_value, {{"state", "down"}});
+    deployment.daemons[restarted].program->kill();
+    deployment.start_daemon(restarted);
+    BOOST_TEST(eventually(
+        [&] { return serves(deployment.daemons[restarted], "suva-1@v1"); }, seconds(5)));
+    control(deployment.key_value, {{"state", "up"}});
+    deployment.wait_ready();
+}
+
 BOOST_AUTO_TEST_CASE(an_edit_in_an_outage_says_so)
 {
     cluster deployment({.daemons = 1, .engines = 1});
