--- a/servers/caller_server.cpp
+++ b/servers/caller_server.cpp
@@ -210,7 +210,7 @@
         {
             try
             {
-                if (refusing_)
+                if (is_leaving())
                     throw request_error(
                         {verdict::not_run, status_unavailable, "leaving",
                          "this instance is stopping; ask /v1/entry for another",
@@ -233,6 +233,13 @@
         };
     }
 
+    // A planned stop, or the platform says that this instance goes.
+    bool is_leaving() const
+    {
+        return refusing_ ||
+               is_leaving_instance(*context_.cluster.snapshot(), context_.settings.id.value);
+    }
+
     void complete(const httplib::Request& request, httplib::Response& response, bool chat)
     {
         const std::shared_ptr<const cluster_snapshot> known = context_.cluster.snapshot();
