--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -3,6 +3,7 @@
 
 #include "bench/clairvoyant.hpp"
 #include "bench/simulator.hpp"
+#include "bench/targets.hpp"
 
 #include <nlohmann/json.hpp>
 #include <tclap/CmdLine.h>
@@ -213,15 +214,21 @@
                                          { return run_case(sizes, options); }));
         }
     }
-    for (auto& rows : running)
+    std::vector<target_check> checks;
+    for (auto& pending : running)
     {
-        for (const ordered_json& row : rows.get())
+        const std::vector<ordered_json> rows = pending.get();
+        for (const ordered_json& row : rows)
         {
             if (json.getValue())
                 std::cout << row.dump() << '\n';
             else
                 print_row(row);
         }
+        for (const target_check& check : check_targets(rows))
+            checks.push_back(check);
     }
+    if (!json.getValue())
+        print_targets(checks);
     return 0;
 }
