--- a/servers/caller_server.cpp
+++ b/servers/caller_server.cpp
@@ -236,8 +236,8 @@
     // A planned stop, or the platform says that this instance goes.
     bool is_leaving() const
     {
-        return refusing_ ||
-               is_leaving_instance(*context_.cluster.snapshot(), context_.settings.id.value);
+        return refusing_ || is_leaving_instance(*context_.cluster.snapshot(),
+                                                context_.settings.id.value);
     }
 
     void complete(const httplib::Request& request, httplib::Response& response, bool chat)
