--- a/bench/simulator.cpp
+++ b/bench/simulator.cpp
@@ -1,5 +1,7 @@
 #include "bench/simulator.hpp"
 
+#include "policy/adapter_slots.hpp"
+
 #include <algorithm>
 #include <deque>
 #include <queue>
--- a/policy/endpoint_scheduler.hpp
+++ b/policy/endpoint_scheduler.hpp
@@ -158,24 +158,6 @@
 // Rejects what can't make its deadline and retries what is due.
 scheduler_actions on_tick(endpoint_scheduler& state, fair_share& shares, instant now);
 
-// True if nothing runs and no order is open.
-bool is_idle(const endpoint_scheduler& state);
-
-// Slots whose adapter is in use, awaited or being changed.
-int busy_slots(const endpoint_scheduler& state);
-
-// The heat of the adapter that the next load would evict; 0 while a slot is free.
-double next_victim_heat(const endpoint_scheduler& state, instant now);
-
-// Queued requests whose adapter isn't ready.
-int stalled_requests(const endpoint_scheduler& state);
-
-// Requests that wait for a place in the batch, by partner.
-std::map<partner_id, int> queued_by_partner(const endpoint_scheduler& state);
-
-// Adapters that wait for the store or are being loaded.
-int loading_adapters(const endpoint_scheduler& state);
-
 } // namespace pollenhaven
 
 #endif
--- a/servers/owner_duty.cpp
+++ b/servers/owner_duty.cpp
@@ -1,11 +1,10 @@
 #include "servers/owner_duty.hpp"
 
 #include "core/log.hpp"
-#include "core/plugin_registry.hpp"
-#include "core/random_id.hpp"
+#include "policy/adapter_slots.hpp"
+#include "servers/endpoint_digests.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <utility>
 
 namespace pollenhaven
@@ -16,43 +15,18 @@
 
 constexpr std::size_t ring_capacity = 16384;
 constexpr milliseconds tick_interval{50};
-constexpr milliseconds report_interval{500};
 // Streams that break within this time after a crash belong to it.
 constexpr milliseconds crash_window{3000};
 // How long a request whose receiver's connection was lost is kept for it to come back.
 constexpr milliseconds resume_patience{10000};
-constexpr int service_concurrency = 32;
-constexpr int order_attempts = 3;
-constexpr milliseconds claim_patience{4000};
-// How long an answer waits to be recorded, so that a resend that follows it finds it.
-constexpr milliseconds record_patience{500};
-constexpr std::size_t recorded_body_limit = 64UL * 1024;
-constexpr std::size_t attempt_id_bytes = 8;
-
-// Plain services have no adapters: all their requests name this one, always ready.
-const model_ref no_adapter{};
-
-execute_event final_event(const failure& reason)
-{
-    execute_event event;
-    event.final = true;
-    event.run = reason.run;
-    event.error = reason;
-    return event;
-}
-
-failure not_run(const std::string& code, const std::string& message)
-{
-    constexpr milliseconds retry_after{500};
-    return {verdict::not_run, 503, code, message, retry_after};
-}
 
 queued_request to_queued(const execute_request& request, const patience_limits& patience,
                          instant now)
 {
     queued_request queued;
     queued.id = request.id;
-    queued.model = request.service.empty() ? request.model : no_adapter;
+    // Plain services have no adapters: their requests name the empty one, always ready.
+    queued.model = request.service.empty() ? request.model : model_ref{};
     queued.partner = request.partner;
     queued.priority = request.priority;
     queued.tokens = request.tokens;
@@ -61,36 +35,13 @@
     return queued;
 }
 
-endpoint_digest to_digest(const endpoint_scheduler& scheduler, bool ready, instant now)
-{
-    endpoint_digest digest;
-    digest.id = scheduler.endpoint;
-    digest.ready = ready;
-    digest.stalled = stalled_requests(scheduler);
-    // Rounded, so that the slow decay alone is no news.
-    digest.victim_heat = std::round(next_victim_heat(scheduler, now));
-    digest.queued = queued_by_partner(scheduler);
-    digest.running = static_cast<int>(scheduler.running.size());
-    digest.max_batch = scheduler.max_batch;
-    digest.busy_slots = busy_slots(scheduler);
-    digest.slots = scheduler.slots;
-    for (const auto& [adapter, slot] : scheduler.residents)
-    {
-        if (slot.state == slot_state::unloading)
-            continue;
-        digest.adapters[adapter] =
-            slot.state == slot_state::ready ? residency::resident : residency::loading;
-    }
-    return digest;
-}
-
 } // namespace
 
 owner_duty::owner_duty(daemon_context& context, store_duty& store, claim_duty& claims,
                        std::function<void()> on_news)
-    : context_(context), store_(store), claims_(claims), on_news_(std::move(on_news)),
-      events_(ring_capacity), jobs_(context.settings.dispatch_threads),
-      thread_([this] { run(); })
+    : context_(context), store_(store), on_news_(std::move(on_news)),
+      events_(ring_capacity), caller_(context, claims),
+      jobs_(context.settings.dispatch_threads), thread_([this] { run(); })
 {
 }
 
@@ -107,7 +58,8 @@
     if (events_.try_push(request_event{request, sink}))
         return;
     --open_count_;
-    sink(final_event(not_run("owner_overloaded", "the owner's event ring is full")));
+    sink(final_event(
+        not_run_failure("owner_overloaded", "the owner's event ring is full")));
 }
 
 void owner_duty::cancel(const request_id& request)
@@ -200,83 +152,6 @@
     }
 }
 
-void owner_duty::follow_cluster(const cluster_snapshot& known, instant now)
-{
-    for (const auto& [id, partner] : known.document->partners)
-        shares_.weights[id] = partner.weight;
-    for (auto owned = owned_.begin(); owned != owned_.end();)
-    {
-        const auto record = known.ownership.endpoints.find(owned->first);
-        const bool ours = record != known.ownership.endpoints.end() &&
-                          record->second.owner == context_.settings.id &&
-                          record->second.incarnation == context_.incarnation &&
-                          record->second.epoch == owned->second.epoch;
-        if (ours)
-        {
-            ++owned;
-            continue;
-        }
-        give_up(owned->second);
-        owned = owned_.erase(owned);
-    }
-    for (const auto& [id, record] : known.ownership.endpoints)
-    {
-        const auto entry = known.document->endpoints.find(id);
-        const bool ours = record.owner == context_.settings.id &&
-                          record.incarnation == context_.incarnation;
-        if (ours && owned_.count(id) == 0 && entry != known.document->endpoints.end())
-            take(entry->second, record.epoch, now);
-    }
-}
-
-void owner_duty::take(const endpoint_entry& entry, ownership_epoch epoch, instant now)
-{
-    owned_endpoint owned;
-    owned.entry = entry;
-    owned.epoch = epoch;
-    owned.owned_since = now;
-    owned.scheduler.endpoint = entry.id;
-    const std::string& address = entry.address.value;
-    const daemon_settings& settings = context_.settings;
-    if (entry.kind == endpoint_kind::engine)
-        owned.engine = plugin_registry<engine_client>::instance().make(
-            settings.engine_module, address);
-    else
-        owned.service = plugin_registry<service_client>::instance().make(
-            settings.service_module, address);
-    log_line(log_level::info, "endpoint taken over",
-             {{"endpoint", entry.id.value}, {"epoch", std::to_string(epoch.value)}});
-    owned_endpoint& placed = owned_[entry.id] = std::move(owned);
-    if (entry.kind == endpoint_kind::service)
-        on_reconciled(placed.scheduler, shares_, 1, service_concurrency,
-                      {{no_adapter, 0}}, now);
-    news_ = true;
-}
-
-void owner_duty::give_up(owned_endpoint& owned)
-{
-    log_line(log_level::info, "endpoint given up",
-             {{"endpoint", owned.entry.id.value},
-              {"epoch", std::to_string(owned.epoch.value)}});
-    carry_out(owned, on_drain(owned.scheduler));
-    news_ = true;
-}
-
-void owner_duty::follow_handover(const cluster_snapshot& known, owned_endpoint& owned)
-{
-    const bool leaves = known.handing_over.count(owned.entry.id) > 0 ||
-                        is_leaving_instance(known, owned.entry.id.value);
-    if (leaves && !owned.scheduler.draining)
-    {
-        log_line(log_level::info, "endpoint takes no new work",
-                 {{"endpoint", owned.entry.id.value}});
-        carry_out(owned, on_drain(owned.scheduler));
-        news_ = true;
-    }
-    else if (!leaves && owned.scheduler.draining)
-        owned.scheduler.draining = false;
-}
-
 // Work that partners received on other owners counts against their shares here too.
 void owner_duty::charge_peers()
 {
@@ -297,37 +172,6 @@
     }
 }
 
-void owner_duty::request_report(owned_endpoint& owned, instant now)
-{
-    if (owned.report_pending || now - owned.last_report < report_interval)
-        return;
-    owned.report_pending = true;
-    owned.last_report = now;
-    const endpoint_id endpoint = owned.entry.id;
-    const ownership_epoch epoch = owned.epoch;
-    const engine_client engine = owned.engine;
-    const bool raise = !owned.fencing_raised;
-    const bool started = jobs_.run(
-        [this, endpoint, epoch, engine, raise]
-        {
-            report_event reported{endpoint, epoch, !raise, std::nullopt};
-            if (raise && context_.guard.may_act_on(endpoint, epoch))
-                reported.fencing_raised =
-                    engine.raise_fencing(epoch) == order_status::done;
-            try
-            {
-                reported.report = engine.report();
-            }
-            catch (const request_error&)
-            {
-                reported.report.reset();
-            }
-            post(std::move(reported));
-        });
-    if (!started)
-        owned.report_pending = false;
-}
-
 void owner_duty::publish()
 {
     const bool news = std::exchange(news_, false);
@@ -380,9 +224,10 @@
     const auto found = owned_.find(request.endpoint);
     if (found == owned_.end())
     {
-        reject(request.id, not_run("not_owner", "endpoint " + request.endpoint.value +
-                                                    " is not owned by " +
-                                                    context_.settings.id.value));
+        reject(request.id,
+               not_run_failure("not_owner", "endpoint " + request.endpoint.value +
+                                                " is not owned by " +
+                                                context_.settings.id.value));
         return;
     }
     owned_endpoint& owned = found->second;
@@ -397,7 +242,7 @@
         const bool blocked =
             judge(crashes_, request.fingerprint, now) == containment::blocked;
         failure reason =
-            not_run("suspect_busy", "another request under suspicion is running");
+            not_run_failure("suspect_busy", "another request under suspicion is running");
         if (blocked)
             reason = {verdict::not_run, 422, "request_blocked",
                       "this request has crashed the endpoints that ran it", std::nullopt};
@@ -429,7 +274,7 @@
         return;
     const auto owned = owned_.find(open.request.endpoint);
     const request_id id = cancelled.request;
-    reject(id, not_run("cancelled", "the caller gave the request up"));
+    reject(id, not_run_failure("cancelled", "the caller gave the request up"));
     if (owned != owned_.end())
         carry_out(owned->second,
                   on_cancelled(owned->second.scheduler, shares_, id, boot_clock::now()));
@@ -581,223 +426,6 @@
     on_report(scheduler, report.resident);
 }
 
-void owner_duty::carry_out(owned_endpoint& owned, const scheduler_actions& actions)
-{
-    for (const scheduler_action& action : actions)
-        std::visit([&](const auto& single) { carry_out(owned, single); }, action);
-}
-
-void owner_duty::carry_out(owned_endpoint& owned, const dispatch_action& action)
-{
-    const auto open = open_.find(action.request.id);
-    if (open == open_.end())
-    {
-        on_finished(owned.scheduler, shares_, action.request.id, boot_clock::now());
-        return;
-    }
-    open->second.dispatched = true;
-    dispatch(owned, open->second);
-}
-
-void owner_duty::carry_out(owned_endpoint& owned, const ask_permit_action& action)
-{
-    const endpoint_id endpoint = owned.entry.id;
-    const ownership_epoch epoch = owned.epoch;
-    const model_ref adapter = action.adapter;
-    store_.ask(permit_id(owned, adapter), action.priority,
-               [this, endpoint, epoch, adapter] {
-                   post(permit_event{endpoint, epoch, adapter});
-               });
-}
-
-void owner_duty::carry_out(owned_endpoint& owned, const withdraw_permit_action& action)
-{
-    store_.end(permit_id(owned, action.adapter));
-}
-
-void owner_duty::carry_out(owned_endpoint& owned, const load_action& action)
-{
-    run_order(owned, action.adapter, true);
-}
-
-void owner_duty::carry_out(owned_endpoint& owned, const unload_action& action)
-{
-    run_order(owned, action.adapter, false);
-}
-
-void owner_duty::carry_out(owned_endpoint&, const reject_action& action)
-{
-    reject(action.request.id, action.reason);
-}
-
-void owner_duty::run_order(owned_endpoint& owned, const model_ref& adapter, bool is_load)
-{
-    const endpoint_id endpoint = owned.entry.id;
-    const ownership_epoch epoch = owned.epoch;
-    const engine_client engine = owned.engine;
-    const std::string permit = permit_id(owned, adapter);
-    const instant started = boot_clock::now();
-    const bool queued = jobs_.run(
-        [=, this]
-        {
-            engine_order order{adapter, epoch, seconds(30)};
-            order_status status = order_status::unknown;
-            for (int attempt = 0; attempt < order_attempts; ++attempt)
-            {
-                if (!context_.guard.may_act_on(endpoint, epoch))
-                {
-                    status = order_status::failed;
-                    break;
-                }
-                status = is_load ? engine.load(order) : engine.unload(order);
-                if (status != order_status::unknown)
-                    break;
-            }
-            if (is_load)
-            {
-                store_.end(permit);
-                context_.metrics.observe_seconds("pollenhaven_load_seconds",
-                                                 to_seconds(boot_clock::now() - started));
-            }
-            post(order_event{endpoint, epoch, adapter, is_load, status});
-        });
-    if (!queued)
-        post(order_event{endpoint, epoch, adapter, is_load, order_status::failed});
-}
-
-void owner_duty::dispatch(owned_endpoint& owned, open_request& open)
-{
-    const instant now = boot_clock::now();
-    const std::string wait_class =
-        open.request.priority == work_class::interactive ? "interactive" : "overnight";
-    context_.metrics.observe_seconds("pollenhaven_queue_seconds_" + wait_class,
-                                     to_seconds(now - open.arrived));
-    open.queue_span.attributes = {{"endpoint", owned.entry.id.value},
-                                  {"epoch", std::to_string(owned.epoch.value)},
-                                  {"adapter", open.request.model.value}};
-    open.queue_span.end_ns = wall_clock_nanoseconds();
-    context_.spans.record(open.queue_span);
-    const endpoint_id endpoint = owned.entry.id;
-    const ownership_epoch epoch = owned.epoch;
-    const execute_request request = open.request;
-    const event_sink sink = open.sink;
-    const shared_flag cancelled = open.cancelled;
-    const shared_flag superseded = open.superseded;
-    const int reader = open.reader;
-    const bool is_engine = owned.entry.kind == endpoint_kind::engine;
-    const engine_client engine = owned.engine;
-    const service_client service = owned.service;
-    const bool queued = jobs_.run(
-        [=, this]
-        {
-            span work = start_span("endpoint.call", request.id.value,
-                                   context_from_header(request.trace_parent));
-            execute_event result = is_engine
-                                       ? generate(engine, endpoint, epoch, request, sink,
-                                                  cancelled, superseded)
-                                       : call_service(service, endpoint, epoch, request);
-            work.attributes = {{"endpoint", endpoint.value},
-                               {"verdict", to_string(result.run)},
-                               {"code", result.error.code},
-                               {"tokens", std::to_string(result.tokens)}};
-            context_.spans.record(std::move(work));
-            post(ended_event{endpoint, epoch, request.id, reader, std::move(result)});
-        });
-    if (!queued)
-        post(ended_event{endpoint, epoch, request.id, reader,
-                         final_event(not_run("owner_overloaded", "too many jobs wait"))});
-}
-
-execute_event owner_duty::generate(const engine_client& engine,
-                                   const endpoint_id& endpoint, ownership_epoch epoch,
-                                   const execute_request& request, const event_sink& sink,
-                                   const shared_flag& cancelled,
-                                   const shared_flag& superseded)
-{
-    // The last moment before the request reaches the endpoint's socket.
-    if (!context_.guard.may_act_on(endpoint, epoch))
-        return final_event(not_run("ownership_lapsed", "the owner's lease has lapsed"));
-    generate_request order;
-    order.id = request.id;
-    order.adapter = request.model;
-    order.fencing = epoch;
-    order.body = request.body;
-    order.resume = request.resume;
-    order.from_token = request.from_token;
-    order.trace_parent = request.trace_parent;
-    const generate_result made =
-        engine.generate(order,
-                        [&](const generated_token& token)
-                        {
-                            execute_event made_token;
-                            made_token.position = token.position;
-                            made_token.text = token.text;
-                            return !*cancelled && sink(made_token);
-                        });
-    if (made.run == verdict::may_have_run && !*superseded)
-        engine.cancel(request.id);
-    execute_event result = final_event(made.error);
-    result.run = made.run;
-    result.adapter = made.adapter;
-    result.finish_reason = made.finish_reason;
-    result.tokens = made.tokens;
-    return result;
-}
-
-execute_event owner_duty::call_service(const service_client& service,
-                                       const endpoint_id& endpoint, ownership_epoch epoch,
-                                       const execute_request& request)
-{
-    claim_wish wish;
-    claim_decision claimed;
-    if (!request.idempotent)
-    {
-        wish.key = call_key(context_.settings.region, request.service, request.key);
-        wish.record.attempt = random_hex(attempt_id_bytes);
-        wish.record.fingerprint = request.fingerprint;
-        claimed = claims_.claim(wish, claim_patience);
-        if (claimed.outcome == claim_outcome::answered_before)
-        {
-            execute_event recorded = final_event({verdict::completed, 200, "", "", {}});
-            recorded.status = claimed.existing.status;
-            recorded.body = claimed.existing.body;
-            return recorded;
-        }
-        if (claimed.outcome != claim_outcome::granted)
-            return final_event(refusal_for(claimed));
-    }
-    if (!context_.guard.may_act_on(endpoint, epoch))
-    {
-        if (!request.idempotent)
-            claims_.release(wish.key, claimed.revision, record_patience);
-        return final_event(not_run("ownership_lapsed", "the owner's lease has lapsed"));
-    }
-    service_call call;
-    call.id = request.id;
-    call.key = request.key;
-    call.path = request.path;
-    call.body = request.body;
-    call.fencing = epoch;
-    call.trace_parent = request.trace_parent;
-    call.timeout = std::max(milliseconds(1000), request.time_left);
-    const service_answer answer = service.call(call);
-    if (!request.idempotent && answer.run == verdict::not_run)
-        claims_.release(wish.key, claimed.revision, record_patience);
-    if (!request.idempotent && answer.run == verdict::completed)
-    {
-        claim_record record = wish.record;
-        record.state = claim_state::done;
-        record.status = answer.status;
-        record.body = answer.body.substr(0, recorded_body_limit);
-        claims_.record_answer(wish.key, claimed.revision, record, record_patience);
-    }
-    execute_event result = final_event(answer.error);
-    result.run = answer.run;
-    result.status = answer.status;
-    result.body = answer.body;
-    return result;
-}
-
 void owner_duty::finish(const request_id& id, const execute_event& result)
 {
     const auto found = open_.find(id);
--- a/servers/owner_duty.hpp
+++ b/servers/owner_duty.hpp
@@ -2,12 +2,9 @@
 #define POLLENHAVEN_SERVERS_OWNER_DUTY_HPP
 
 #include "core/bounded_ring.hpp"
-#include "core/interfaces/engine_client.hpp"
-#include "core/interfaces/service_client.hpp"
 #include "policy/crash_ledger.hpp"
 #include "policy/endpoint_scheduler.hpp"
-#include "servers/claim_duty.hpp"
-#include "servers/daemon_context.hpp"
+#include "servers/endpoint_caller.hpp"
 #include "servers/job_pool.hpp"
 #include "servers/peer_messages.hpp"
 #include "servers/store_duty.hpp"
@@ -23,9 +20,6 @@
 namespace pollenhaven
 {
 
-// Receives a request's events. Returns false if the receiver is gone.
-using event_sink = std::function<bool(const execute_event&)>;
-
 // Owns endpoints: queues what is sent to them, decides with the scheduler what to
 // dispatch, load and evict, and carries it out through the job pool.
 class owner_duty
@@ -166,12 +160,6 @@
     void finish(const request_id& id, const execute_event& result);
     void reject(const request_id& id, const failure& reason);
 
-    execute_event generate(const engine_client& engine, const endpoint_id& endpoint,
-                           ownership_epoch epoch, const execute_request& request,
-                           const event_sink& sink, const shared_flag& cancelled,
-                           const shared_flag& superseded);
-    execute_event call_service(const service_client& service, const endpoint_id& endpoint,
-                               ownership_epoch epoch, const execute_request& request);
     void post(const event& next);
     owned_endpoint* find(const endpoint_id& endpoint, ownership_epoch epoch);
     std::set<std::string> running_fingerprints(const owned_endpoint& owned) const;
@@ -179,7 +167,6 @@
 
     daemon_context& context_;
     store_duty& store_;
-    claim_duty& claims_;
     std::function<void()> on_news_;
     bounded_ring<event> events_;
     std::map<endpoint_id, owned_endpoint> owned_;
@@ -199,6 +186,8 @@
     std::map<endpoint_id, bool> idle_;
     crash_ledger published_crashes_;
 
+    endpoint_caller caller_;
+
     // The jobs refer to all of the above, so they end first.
     job_pool jobs_;
     std::thread thread_;
