--- a/servers/peer_transport.cpp
+++ b/servers/peer_transport.cpp
@@ -44,6 +44,23 @@
 };
 using command = std::variant<call_command, cancel_command, reply_command>;
 
+// What the transport's thread has to do at most before it refuses more.
+constexpr std::size_t queued_commands_limit = 65536;
+
+// Runs a handler. A message that can't be understood must harm no other call.
+void notify(const peer_event_handler& handler, const peer_event& event)
+{
+    try
+    {
+        handler(event);
+    }
+    catch (const std::exception& error)
+    {
+        log_line(log_level::warning, "a peer's message can't be used",
+                 {{"error", error.what()}});
+    }
+}
+
 struct outgoing_call
 {
     peer_call_id id;
@@ -83,13 +100,17 @@
     reactor(const reactor&) = delete;
     reactor& operator=(const reactor&) = delete;
 
-    void post(command next)
+    // Returns false if too much waits already.
+    bool post(command next)
     {
         {
             const std::lock_guard lock(mutex_);
+            if (commands_.size() >= queued_commands_limit)
+                return false;
             commands_.push_back(std::move(next));
         }
         wake();
+        return true;
     }
 
     peer_call_id next_call() { return {++last_call_}; }
@@ -135,14 +156,14 @@
         {
             log_line(log_level::warning, "peer address can't be used",
                      {{"peer", next.peer.value}, {"error", error.what()}});
-            next.handler({peer_event::kind::failed, {}, false});
+            notify(next.handler, {peer_event::kind::failed, {}, false});
             return;
         }
         connection_entry& entry = connections_[number];
         const std::int32_t stream = entry.connection->open_call(next.path, next.message);
         if (stream < 0)
         {
-            next.handler({peer_event::kind::failed, {}, false});
+            notify(next.handler, {peer_event::kind::failed, {}, false});
             drop(number);
             return;
         }
@@ -205,7 +226,8 @@
         std::map<std::int32_t, outgoing_call>& calls = connections_[number].calls;
         const auto found = calls.find(stream);
         if (found != calls.end())
-            found->second.handler({peer_event::kind::message, std::move(message), true});
+            notify(found->second.handler,
+                   {peer_event::kind::message, std::move(message), true});
     }
 
     void on_stream_closed(std::uint64_t number, std::int32_t stream, bool orderly)
@@ -219,7 +241,7 @@
             call_streams_.erase(ended.id);
             const auto what =
                 orderly ? peer_event::kind::ended : peer_event::kind::failed;
-            ended.handler({what, {}, true});
+            notify(ended.handler, {what, {}, true});
         }
         if (entry.served.erase(stream) > 0 && !orderly)
             handlers_.on_cancelled({number, stream}, false);
@@ -243,7 +265,7 @@
         for (auto& [stream, call] : entry.calls)
         {
             call_streams_.erase(call.id);
-            call.handler({peer_event::kind::failed, {}, sent});
+            notify(call.handler, {peer_event::kind::failed, {}, sent});
         }
         for (const std::int32_t stream : entry.served)
             handlers_.on_cancelled({number, stream}, true);
@@ -350,21 +372,23 @@
 }
 
 peer_call_id peer_transport::call(const network_address& peer, const std::string& path,
-                                  std::string message, peer_event_handler handler)
+                                  std::string message, const peer_event_handler& handler)
 {
     const peer_call_id id = reactor_->next_call();
-    reactor_->post(call_command{id, peer, path, std::move(message), std::move(handler)});
+    if (!reactor_->post(call_command{id, peer, path, std::move(message), handler}))
+        notify(handler, {peer_event::kind::failed, {}, false});
     return id;
 }
 
 void peer_transport::cancel(peer_call_id call)
 {
-    reactor_->post(cancel_command{call});
+    (void)reactor_->post(cancel_command{call});
 }
 
 void peer_transport::reply(peer_stream_id stream, std::string message, bool last)
 {
-    reactor_->post(reply_command{stream, std::move(message), last});
+    if (!reactor_->post(reply_command{stream, std::move(message), last}))
+        log_line(log_level::error, "an answer to a peer was dropped: too many wait");
 }
 
 std::uint64_t peer_transport::bytes_sent() const
--- a/servers/peer_transport.hpp
+++ b/servers/peer_transport.hpp
@@ -70,7 +70,7 @@
 
     // Sends a call. The handler gets events until ended or failed. Thread-safe.
     peer_call_id call(const network_address& peer, const std::string& path,
-                      std::string message, peer_event_handler handler);
+                      std::string message, const peer_event_handler& handler);
     // Gives a call up; its handler gets no further events. Thread-safe.
     void cancel(peer_call_id call);
     // Sends one message of an answer, and ends the answer if last is set. Thread-safe.
--- /dev/null
+++ b/tests/contract/main.cpp
@@ -0,0 +1,2 @@
+#define BOOST_TEST_MODULE contract
+#include <boost/test/unit_test.hpp>
--- a/tests/harness/cluster.cpp
+++ b/tests/harness/cluster.cpp
@@ -52,6 +52,14 @@
     text.replace(from, text.find('\n', from) - from, value);
 }
 
+std::vector<std::string> with_role(const std::string& role,
+                                   const std::vector<std::string>& more)
+{
+    std::vector<std::string> arguments{"--role=" + role};
+    arguments.insert(arguments.end(), more.begin(), more.end());
+    return arguments;
+}
+
 std::string make_folder()
 {
     std::string pattern =
@@ -63,6 +71,13 @@
 
 } // namespace
 
+standin::standin(const std::string& role, const std::vector<std::string>& more)
+    : program_(program_path("pollenhaven-standin"), with_role(role, more), "/dev/null")
+{
+    const std::string line = program_.read_line();
+    address_ = line.substr(line.find(' ') + 1);
+}
+
 cluster::cluster(const cluster_options& given) : options(given), folder(make_folder())
 {
     key_value = start_standin("key-value", {});
@@ -116,10 +131,9 @@
 std::string cluster::start_standin(const std::string& role,
                                    const std::vector<std::string>& more)
 {
-    std::vector<std::string> arguments{"--role=" + role};
-    arguments.insert(arguments.end(), more.begin(), more.end());
     standins_.push_back(std::make_unique<process>(program_path("pollenhaven-standin"),
-                                                  arguments, folder + "/standins.log"));
+                                                  with_role(role, more),
+                                                  folder + "/standins.log"));
     const std::string line = standins_.back()->read_line();
     return line.substr(line.find(' ') + 1);
 }
--- a/tests/harness/cluster.hpp
+++ b/tests/harness/cluster.hpp
@@ -39,6 +39,20 @@
     int threads = 96;
 };
 
+// One stand-in program by itself.
+class standin
+{
+public:
+    explicit standin(const std::string& role, const std::vector<std::string>& more = {});
+
+    const std::string& address() const { return address_; }
+    process& program() { return program_; }
+
+private:
+    process program_;
+    std::string address_;
+};
+
 struct running_daemon
 {
     std::string id;
