Requests counted as sent lapse after half a second

Cause: an entry daemon counted what it sent on top of the owner's digest until the next digest; an owner whose digest had not changed sent none, so the counts stayed and the endpoint looked busy. Found reading 'pollenhavenctl endpoints' on an idle demo (queued 2). Ruled out: a leak in the owner's queue (its own digest showed 0). Now they are kept apart and lapse after 500 ms. Test peers/a_request_sent_counts_only_for_a_moment: failed before, passes after.

--- a/servers/entry_router.cpp
+++ b/servers/entry_router.cpp
@@ -196,7 +196,8 @@
 void entry_call::send_to_owner()
 {
     daemon_context& context = router_.context;
-    context.peers.count_sent(owner_, request_.endpoint, request_.model, request_.partner);
+    context.peers.count_sent(request_.endpoint, request_.model, request_.partner,
+                             boot_clock::now());
     call_.reset();
     if (owner_ == context.settings.id)
     {
--- a/servers/peer_table.cpp
+++ b/servers/peer_table.cpp
@@ -8,6 +8,8 @@
 
 // A daemon that was not heard for this long gets no new work.
 constexpr milliseconds silence_limit{3000};
+// By then an owner's digest shows a request that was sent to it.
+constexpr milliseconds digest_delay{500};
 
 } // namespace
 
@@ -58,21 +60,29 @@
     const auto digest = peer->second.endpoints.find(id);
     if (digest == peer->second.endpoints.end())
         return std::nullopt;
-    return digest->second;
+    endpoint_digest known = digest->second;
+    add_sent(known, now);
+    return known;
 }
 
-void peer_table::count_sent(const daemon_id& owner, const endpoint_id& id,
-                            const model_ref& model, const partner_id& partner)
+void peer_table::add_sent(endpoint_digest& digest, instant now) const
+{
+    for (const sent_request& sent : sent_)
+    {
+        if (sent.endpoint != digest.id || now - sent.at > digest_delay)
+            continue;
+        const bool loads = digest.adapters.emplace(sent.model, residency::loading).second;
+        ++(loads ? digest.stalled : digest.queued[sent.partner]);
+    }
+}
+
+void peer_table::count_sent(const endpoint_id& id, const model_ref& model,
+                            const partner_id& partner, instant now)
 {
     const std::lock_guard lock(mutex_);
-    const auto peer = peers_.find(owner);
-    if (peer == peers_.end())
-        return;
-    const auto digest = peer->second.endpoints.find(id);
-    if (digest == peer->second.endpoints.end())
-        return;
-    const bool loads = digest->second.adapters.emplace(model, residency::loading).second;
-    ++(loads ? digest->second.stalled : digest->second.queued[partner]);
+    while (!sent_.empty() && now - sent_.front().at > digest_delay)
+        sent_.pop_front();
+    sent_.push_back({id, model, partner, now});
 }
 
 void peer_table::mark_silent(const daemon_id& peer)
--- a/servers/peer_table.hpp
+++ b/servers/peer_table.hpp
@@ -3,6 +3,7 @@
 
 #include "servers/peer_messages.hpp"
 
+#include <deque>
 #include <map>
 #include <mutex>
 #include <optional>
@@ -31,17 +32,29 @@
     // The state of an endpoint as told by its owner, if the owner was heard lately.
     std::optional<endpoint_digest> endpoint(const daemon_id& owner, const endpoint_id& id,
                                             instant now) const;
-    // Counts a request sent there until the owner's next digest, so that a burst doesn't
-    // all go to the endpoint that was the emptiest.
-    void count_sent(const daemon_id& owner, const endpoint_id& id, const model_ref& model,
-                    const partner_id& partner);
+    // Counts a request sent there for as long as the owner's digest may not show it, so
+    // that a burst doesn't all go to the endpoint that was the emptiest.
+    void count_sent(const endpoint_id& id, const model_ref& model,
+                    const partner_id& partner, instant now);
     // A call to the daemon failed: it counts as silent until it is heard again.
     void mark_silent(const daemon_id& peer);
     bool is_heard(const daemon_id& peer, instant now) const;
 
 private:
+    // A request sent, and when.
+    struct sent_request
+    {
+        endpoint_id endpoint;
+        model_ref model;
+        partner_id partner;
+        instant at{};
+    };
+
+    void add_sent(endpoint_digest& digest, instant now) const;
+
     mutable std::mutex mutex_;
     std::map<daemon_id, peer_state> peers_;
+    std::deque<sent_request> sent_;
 };
 
 } // namespace pollenhaven
