--- a/tests/process/combined_test.cpp
+++ b/tests/process/combined_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE combined
-#include "tests/harness/background_load.hpp"
+#include "tests/process/checks.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -14,14 +14,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-void check_nothing_broken(const cluster& deployment, const load_counts& counts)
-{
-    BOOST_TEST(counts.wrong == 0);
-    BOOST_TEST(broken_promises(deployment, counts) == 0);
-    BOOST_TEST(deployment.engine_total("evicted_in_use") == 0);
-    BOOST_TEST(deployment.engine_total("old_fencing_obeyed") == 0);
-}
-
 bool all_ready(const cluster& deployment, std::size_t asked)
 {
     const nlohmann::json report =
--- a/tests/process/ownership_test.cpp
+++ b/tests/process/ownership_test.cpp
@@ -1,5 +1,5 @@
 #define BOOST_TEST_MODULE ownership
-#include "tests/harness/background_load.hpp"
+#include "tests/process/checks.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -34,15 +34,6 @@
     return others;
 }
 
-void check_nothing_broken(const cluster& deployment, const load_counts& counts)
-{
-    BOOST_TEST(counts.wrong == 0);
-    BOOST_TEST(broken_promises(deployment, counts) == 0);
-    BOOST_TEST(deployment.engine_total("evicted_in_use") == 0);
-    BOOST_TEST(deployment.engine_total("old_fencing_obeyed") == 0);
-    BOOST_TEST(deployment.engine_total("generated_twice") == 0);
-}
-
 nlohmann::json epochs(const cluster& deployment, std::size_t asked = 0)
 {
     nlohmann::json found = nlohmann::json::object();
