--- a/servers/gateway/engine_controller.cpp
+++ b/servers/gateway/engine_controller.cpp
@@ -161,8 +161,10 @@
                 if (!result.has_response || result.status != status_ok)
                     throw dialect_error("the report request failed, status " +
                                         std::to_string(result.status));
-                apply_report(queried.state, context_.dialect.read_report(result.body),
-                             context_.settings.load_timing, sent, now);
+                const engine_inventory report = context_.dialect.read_report(result.body);
+                log_early_loads(id, report, sent);
+                apply_report(queried.state, report, context_.settings.load_timing, sent,
+                             now);
             }
             catch (const dialect_error& error)
             {
@@ -214,12 +216,57 @@
         engine.state.outstanding_order->action == order_action::load ? "load" : "unload";
     context_.metrics.add("pollenhaven_orders_total{action=\"" + action + "\",status=\"" +
                          std::to_string(result.status) + "\"}");
-    record_order_result(engine.state, outcome, loads_in_progress(),
-                        context_.settings.load_timing, context_.loop.now());
+    const adapter_id adapter = engine.state.outstanding_order->adapter;
+    const int other_loads = loads_in_progress();
+    record_order_result(engine.state, outcome, other_loads, context_.settings.load_timing,
+                        context_.loop.now());
+    if (outcome == order_outcome::accepted && action == "load")
+        log_load_started(id, adapter, other_loads);
     schedule_inventory_broadcast(id);
     send_next_action(id);
 }
 
+void engine_controller::log_load_started(const endpoint_id& id, const adapter_id& adapter,
+                                         int loads_in_progress)
+{
+    const engine_state& state = engines_.at(id).state;
+    const auto slot = state.slots.find(adapter);
+    if (slot == state.slots.end())
+        return;
+    const auto expected =
+        to_milliseconds(slot->second.ready_at - slot->second.changed_at);
+    context_.log.write("load started",
+                       {{"endpoint", id.value},
+                        {"adapter", adapter.value},
+                        {"source", slot->second.from_store ? "store" : "memory"},
+                        {"loads_in_progress", std::int64_t{loads_in_progress}},
+                        {"expected_ms", std::int64_t{expected.count()}}});
+    context_.metrics.observe_seconds("pollenhaven_expected_load_seconds",
+                                     to_seconds(expected));
+}
+
+void engine_controller::log_early_loads(const endpoint_id& id,
+                                        const engine_inventory& report, instant sent)
+{
+    const engine_state& state = engines_.at(id).state;
+    for (const versioned_adapter& reported : report.adapters)
+    {
+        const auto slot = state.slots.find(reported.adapter);
+        if (slot == state.slots.end() || slot->second.state != slot_state::loading ||
+            slot->second.ready_at <= sent)
+            continue;
+        const auto elapsed = to_milliseconds(sent - slot->second.changed_at);
+        const auto expected =
+            to_milliseconds(slot->second.ready_at - slot->second.changed_at);
+        context_.log.write("load complete early",
+                           {{"endpoint", id.value},
+                            {"adapter", reported.adapter.value},
+                            {"elapsed_ms", std::int64_t{elapsed.count()}},
+                            {"expected_ms", std::int64_t{expected.count()}}});
+        context_.metrics.add("pollenhaven_early_loads_total");
+    }
+}
+
 void engine_controller::schedule_inventory_broadcast(const endpoint_id& id)
 {
     held_engine& engine = engines_.at(id);
--- a/servers/gateway/engine_controller.hpp
+++ b/servers/gateway/engine_controller.hpp
@@ -51,6 +51,13 @@
     void send_report_request(const endpoint_id& id, held_engine& engine);
     void send_order(const endpoint_id& id, held_engine& engine, engine_order order);
     void on_order_response(const endpoint_id& id, const http_result& result);
+    // Logs how long a load that was accepted now is expected to take.
+    void log_load_started(const endpoint_id& id, const adapter_id& adapter,
+                          int loads_in_progress);
+    // Logs the loads that a report shows as complete though they were expected to last
+    // longer.
+    void log_early_loads(const endpoint_id& id, const engine_inventory& report,
+                         instant sent);
     void schedule_load_completion(const endpoint_id& id, held_engine& engine);
     void schedule_inventory_broadcast(const endpoint_id& id);
     void broadcast_inventory(const endpoint_id& id);
--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -368,6 +368,8 @@
 {
     while (!timers_.empty() && timers_.begin()->first.first <= now_)
     {
+        statistics_.max_timer_delay =
+            std::max(statistics_.max_timer_delay, now_ - timers_.begin()->first.first);
         const std::function<void()> call = std::move(timers_.begin()->second);
         timer_deadlines_.erase(timers_.begin()->first.second);
         timers_.erase(timers_.begin());
@@ -375,12 +377,12 @@
     }
 }
 
-int event_loop::epoll_timeout_ms() const
+int event_loop::epoll_timeout_ms(instant now) const
 {
     if (timers_.empty())
         return max_wait_ms;
     const auto remaining =
-        std::chrono::ceil<milliseconds>(timers_.begin()->first.first - boot_clock::now());
+        std::chrono::ceil<milliseconds>(timers_.begin()->first.first - now);
     return static_cast<int>(std::clamp<long long>(remaining.count(), 0, max_wait_ms));
 }
 
@@ -403,8 +405,10 @@
     while (!finished())
     {
         flush();
+        const instant before_wait = boot_clock::now();
+        statistics_.busy += before_wait - now_;
         const int count = epoll_wait(epoll_.number(), events.data(), max_events_per_wait,
-                                     epoll_timeout_ms());
+                                     epoll_timeout_ms(before_wait));
         now_ = boot_clock::now();
         for (int at = 0; at < count; ++at)
             handle_event(events[static_cast<std::size_t>(at)].data.u64,
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -11,6 +11,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 namespace pollenhaven
@@ -39,6 +40,14 @@
     std::function<void(stream_id, stream_end)> ended;
 };
 
+// How much time the loop spent outside of its waits, and the longest time by which a
+// timer ran late.
+struct loop_statistics
+{
+    boot_clock::duration busy{};
+    boot_clock::duration max_timer_delay{};
+};
+
 // Serves TCP connections, datagrams and timers on one thread, with epoll. Output is
 // buffered and written once per iteration of the loop. Not thread-safe.
 class event_loop
@@ -90,6 +99,8 @@
 
     // The time at which the current iteration of the loop began.
     instant now() const { return now_; }
+    // Returns the statistics since the last call.
+    loop_statistics take_statistics() { return std::exchange(statistics_, {}); }
     // Runs the loop until `finished` returns true; it is called once per iteration.
     void run(const std::function<bool()>& finished);
 
@@ -119,7 +130,7 @@
     void flush();
     void read_datagrams();
     void run_timers();
-    int epoll_timeout_ms() const;
+    int epoll_timeout_ms(instant now) const;
     void handle_event(std::uint64_t tag, std::uint32_t events);
 
     struct listener
@@ -130,6 +141,7 @@
 
     file_descriptor epoll_;
     instant now_;
+    loop_statistics statistics_;
     std::uint64_t next_id_ = 1;
     std::unordered_map<std::uint64_t, stream> streams_;
     std::map<std::uint64_t, listener> listeners_;
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -8,6 +8,7 @@
 #include "servers/gateway/fleet_membership.hpp"
 #include "servers/gateway/fleet_watcher.hpp"
 #include "servers/gateway/gateway_reports.hpp"
+#include "servers/gateway/gateway_statistics.hpp"
 #include "servers/gateway/http_server.hpp"
 #include "servers/gateway/idempotency_claims.hpp"
 #include "servers/gateway/request_flow.hpp"
@@ -32,6 +33,7 @@
 // Interval at which claims, due orders and waiting requests are checked.
 constexpr milliseconds work_interval{15};
 constexpr milliseconds housekeeping_interval{250};
+constexpr milliseconds statistics_interval{5000};
 // Interval at which the settings file is checked; it may change without a SIGHUP.
 constexpr milliseconds settings_file_interval{1000};
 // Times since SIGTERM at which the daemon stops listening, closes idle connections, and
@@ -84,6 +86,8 @@
     void on_request(stream_id caller, const http_head& head, std::string body);
     void send_directory(stream_id caller, const directory_writer& write);
     void on_datagram(std::string_view bytes);
+    void handle_message(const fleet_message& message);
+    void dispatch_waiting();
     void broadcast(const fleet_message& message);
     void request_load(const load_request_message& request);
     void send_heartbeat();
@@ -92,6 +96,7 @@
     void update_own_member_view();
     void run_periodic_work();
     void run_housekeeping();
+    void report_periodic_statistics();
     void handle_operator_request(stream_id caller, const http_head& head);
     gateway_activity current_activity() const;
     void check_settings_file();
@@ -113,6 +118,7 @@
     fleet_membership membership_;
     fleet_watcher watcher_;
     store_sync store_sync_;
+    gateway_statistics statistics_;
     instant shutdown_began_{};
     bool stopped_listening_ = false;
     std::filesystem::file_time_type settings_modified_at_{};
@@ -151,7 +157,7 @@
               apply_inventory(context_.fleet, *inventory, context_.loop.now());
               // The dispatch is deferred, because this function may be called during one.
               context_.loop.schedule_after(milliseconds(0),
-                                           [this] { flow_.dispatch_waiting(); });
+                                           [this] { dispatch_waiting(); });
           }),
       membership_(context_, [this](const endpoint_id& endpoint)
                   { engine_controller_.permission_changed(endpoint); }),
@@ -224,38 +230,54 @@
 
 void gateway::on_datagram(std::string_view bytes)
 {
-    const instant now = context_.loop.now();
+    const instant began = boot_clock::now();
     try
     {
         const fleet_message message = decode(bytes);
-        if (const auto* heartbeat = std::get_if<heartbeat_message>(&message))
-        {
-            apply_heartbeat(context_.fleet, *heartbeat, now);
-            for (const auto& [endpoint, load] : heartbeat->endpoint_loads)
-                engine_controller_.record_adapter_usage(endpoint, load);
-        }
-        else if (const auto* load = std::get_if<endpoint_load_message>(&message))
-            apply_endpoint_load(context_.fleet, *load, now);
-        else if (const auto* inventory = std::get_if<inventory_message>(&message))
-        {
-            apply_inventory(context_.fleet, *inventory, now);
-            flow_.dispatch_waiting();
-        }
-        else if (const auto* queue = std::get_if<load_queue_message>(&message))
-            apply_load_queue(context_.fleet, *queue, now);
-        else if (const auto* request = std::get_if<load_request_message>(&message))
-            engine_controller_.request_load(*request);
-        else if (const auto* suspects = std::get_if<suspects_message>(&message))
-            guard_.merge_suspects(*suspects);
-        else if (const auto* sync_request = std::get_if<sync_request_message>(&message))
-            store_sync_.on_request(*sync_request);
-        else if (const auto* chunk = std::get_if<sync_chunk_message>(&message))
-            store_sync_.on_chunk(*chunk);
+        count_message(statistics_.received, message, bytes.size());
+        handle_message(message);
     }
     catch (const std::runtime_error& error)
     {
         context_.log.write("peer message refused", {{"reason", error.what()}});
     }
+    statistics_.message_time += boot_clock::now() - began;
+}
+
+void gateway::handle_message(const fleet_message& message)
+{
+    const instant now = context_.loop.now();
+    if (const auto* heartbeat = std::get_if<heartbeat_message>(&message))
+    {
+        apply_heartbeat(context_.fleet, *heartbeat, now);
+        for (const auto& [endpoint, load] : heartbeat->endpoint_loads)
+            engine_controller_.record_adapter_usage(endpoint, load);
+    }
+    else if (const auto* load = std::get_if<endpoint_load_message>(&message))
+        apply_endpoint_load(context_.fleet, *load, now);
+    else if (const auto* inventory = std::get_if<inventory_message>(&message))
+    {
+        apply_inventory(context_.fleet, *inventory, now);
+        dispatch_waiting();
+    }
+    else if (const auto* queue = std::get_if<load_queue_message>(&message))
+        apply_load_queue(context_.fleet, *queue, now);
+    else if (const auto* request = std::get_if<load_request_message>(&message))
+        engine_controller_.request_load(*request);
+    else if (const auto* suspects = std::get_if<suspects_message>(&message))
+        guard_.merge_suspects(*suspects);
+    else if (const auto* sync_request = std::get_if<sync_request_message>(&message))
+        store_sync_.on_request(*sync_request);
+    else if (const auto* chunk = std::get_if<sync_chunk_message>(&message))
+        store_sync_.on_chunk(*chunk);
+}
+
+void gateway::dispatch_waiting()
+{
+    const instant began = boot_clock::now();
+    flow_.dispatch_waiting();
+    statistics_.dispatch_time += boot_clock::now() - began;
+    ++statistics_.dispatches;
 }
 
 void gateway::broadcast(const fleet_message& message)
@@ -269,6 +291,7 @@
         context_.loop.send_datagram(member.peer_address, bytes);
         context_.metrics.add("pollenhaven_peer_bytes_sent_total",
                              static_cast<double>(bytes.size()));
+        count_message(statistics_.sent, message, bytes.size());
     }
 }
 
@@ -283,8 +306,11 @@
     if (holder == context_.settings.id)
         return engine_controller_.request_load(request);
     const auto member = context_.fleet.members.find(holder);
-    if (member != context_.fleet.members.end() && !member->second.peer_address.empty())
-        context_.loop.send_datagram(member->second.peer_address, encode(request));
+    if (member == context_.fleet.members.end() || member->second.peer_address.empty())
+        return;
+    const std::string bytes = encode(request);
+    context_.loop.send_datagram(member->second.peer_address, bytes);
+    count_message(statistics_.sent, request, bytes.size());
 }
 
 void gateway::send_heartbeat()
@@ -348,7 +374,14 @@
     context_.loop.schedule_after(work_interval, [this] { run_periodic_work(); });
     membership_.run_periodic_work();
     engine_controller_.run_periodic_work();
-    flow_.dispatch_waiting();
+    dispatch_waiting();
+}
+
+void gateway::report_periodic_statistics()
+{
+    context_.loop.schedule_after(statistics_interval,
+                                 [this] { report_periodic_statistics(); });
+    report_statistics(context_, statistics_);
 }
 
 void gateway::run_housekeeping()
@@ -474,6 +507,7 @@
     send_periodic_heartbeat();
     run_periodic_work();
     run_housekeeping();
+    report_periodic_statistics();
     check_settings_file();
     context_.loop.run([this] { return process_signals(); });
     context_.log.write(
