--- a/bench/workload.cpp
+++ b/bench/workload.cpp
@@ -22,6 +22,20 @@
     return std::clamp(static_cast<int>(length(random)), 1, max_tokens);
 }
 
+// Sets the figures that the grown deployments have in common.
+void apply_grown_sizes(deployment_profile& profile)
+{
+    profile.engines = 90;
+    profile.max_batch_size = 16;
+    profile.adapter_slots = 11;
+    profile.adapters = 10000;
+    profile.store_load = milliseconds(288);
+    profile.memory_load = milliseconds(29);
+    profile.loads_at_full_speed = 64;
+    for (traffic_class& kind : profile.traffic_classes)
+        kind.max_pause = milliseconds(300);
+}
+
 } // namespace
 
 deployment_profile suva()
@@ -83,6 +97,58 @@
     return result;
 }
 
+deployment_profile suva_grown()
+{
+    deployment_profile result = suva();
+    result.name = "suva-grown";
+    apply_grown_sizes(result);
+    result.daemons = 81;
+    result.steps_per_event = 8;
+    traffic_class& chat = result.traffic_classes[0];
+    chat.rate = 306;
+    chat.on_time_credit = 1.4;
+    chat.late_credit = 0.41;
+    chat.deadline = milliseconds(12000);
+    traffic_class& queued = result.traffic_classes[1];
+    queued.rate = 42.5;
+    queued.on_time_credit = 2.7;
+    queued.late_credit = 0.82;
+    traffic_class& notes = result.traffic_classes[2];
+    notes.rate = 140;
+    notes.on_time_credit = 2.4;
+    notes.late_credit = 0.73;
+    return result;
+}
+
+deployment_profile kitamura_grown()
+{
+    deployment_profile result = kitamura();
+    result.name = "kitamura-grown";
+    apply_grown_sizes(result);
+    result.daemons = 61;
+    result.steps_per_event = 9;
+    traffic_class& query = result.traffic_classes[0];
+    query.rate = 347;
+    query.on_time_credit = 1.8;
+    query.late_credit = 0.55;
+    query.deadline = milliseconds(10000);
+    traffic_class& digest = result.traffic_classes[1];
+    digest.rate = 48.1;
+    digest.urgency = 1;
+    digest.on_time_credit = 1.8;
+    digest.late_credit = 0.55;
+    digest.deadline = milliseconds(12000);
+    traffic_class report = suva().traffic_classes[2];
+    report.name = "season-report";
+    report.rate = 137;
+    report.urgency = 0;
+    report.max_pause = milliseconds(300);
+    report.on_time_credit = 1.9;
+    report.late_credit = 0.56;
+    result.traffic_classes.push_back(report);
+    return result;
+}
+
 std::vector<emulated_request> make_workload(const deployment_profile& deployment,
                                             const workload_options& options)
 {
--- a/bench/workload.hpp
+++ b/bench/workload.hpp
@@ -67,6 +67,11 @@
 deployment_profile suva();
 deployment_profile kitamura();
 
+// The same partners with ten times as many engines. The weight store serves more loads at
+// full speed, and one load takes longer.
+deployment_profile suva_grown();
+deployment_profile kitamura_grown();
+
 struct emulated_request
 {
     // Time of arrival.
--- a/tests/emulator/emulator_test.cpp
+++ b/tests/emulator/emulator_test.cpp
@@ -119,6 +119,26 @@
     }
 }
 
+// Guards against requests that are held back although their adapter is loaded: daemons
+// that take the store of a larger deployment for that of a small one expect loads to take
+// several times as long as they do.
+BOOST_AUTO_TEST_CASE(daemons_learn_what_the_weight_store_of_a_larger_deployment_bears)
+{
+    // The project's targets below saturation.
+    constexpr double min_credit_to_bound = 0.9;
+    for (deployment_profile profile : {suva_grown(), kitamura_grown()})
+    {
+        profile.daemons = 12;
+        const std::vector<emulated_request> workload = make_requests(profile, 1, 1);
+        const emulation_result product = emulate_product(profile, workload);
+        const emulation_result bound = emulate_bound(profile, workload);
+        BOOST_TEST(product.credit_share >= min_credit_to_bound * bound.credit_share,
+                   profile.name << ": credit " << product.credit_share << ", bound "
+                                << bound.credit_share << ", refused " << product.refused
+                                << ", first token " << product.first_token_p95_ms);
+    }
+}
+
 // At twice the load of the deployment profiles, more adapters are requested than the
 // weight store can load. The naive variant sees the whole fleet without delay and still
 // wins with some seeds, so the test compares the sums over several seeds.
