Request further replicas of a popular adapter while one is being loaded

Cause: a replica was requested only if every engine with the adapter was busy, and an engine that was still loading it counted as not busy. So the replicas came one after the other, each a load time after the one before. With 64 or 128 places an engine the popular adapter needs two or three replicas; with 16 places it needs a dozen.

Why this works: while a replica is being loaded, it will take over as many requests as it has places, so one in that many waiting requests asks for another one; no count has to be agreed. The mean load of all engines is computed only if a request needs it.

--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -151,6 +151,52 @@
                               max_pending_prefill_tokens;
 }
 
+// The engines that have an adapter, as far as they bear on the need for another one.
+struct adapter_supply
+{
+    // Engines that load it.
+    int loading = 0;
+    // Engines that can take more requests for it, and those that can't.
+    int available = 0;
+    int busy = 0;
+    // The number of requests that one engine runs at once.
+    int slots = 1;
+};
+
+// Adds an engine that has the adapter. `busy_threshold` is computed when it is first
+// needed, because that takes a pass over all endpoints and their peers.
+void count_supply(adapter_supply& supply, const fleet_view& fleet,
+                  const endpoint_view& endpoint, const resident_adapter& resident,
+                  const dispatch_query& query, std::optional<double>& busy_threshold,
+                  instant now)
+{
+    supply.slots = std::max(supply.slots, endpoint.record.slots);
+    if (resident.ready_at > now)
+    {
+        ++supply.loading;
+        return;
+    }
+    if (adapter_requests_in_flight(endpoint, query.adapter, now) < replica_min_requests)
+    {
+        ++supply.available;
+        return;
+    }
+    if (!busy_threshold)
+        busy_threshold =
+            replica_load_factor * mean_in_flight(fleet, query, now) + replica_load_slack;
+    ++(total_in_flight(endpoint, now) < *busy_threshold ? supply.available : supply.busy);
+}
+
+// Returns true if the request should have the adapter loaded on one more engine. While a
+// replica is being loaded, that is one request in as many as the replica will take over.
+bool needs_replica(const adapter_supply& supply, std::uint64_t request_hash)
+{
+    if (supply.available > 0 || supply.busy == 0)
+        return false;
+    return supply.loading == 0 ||
+           request_hash % static_cast<std::uint64_t>(supply.slots) == 0;
+}
+
 } // namespace
 
 dispatch_decision choose_endpoint(const fleet_view& fleet, const dispatch_query& query,
@@ -159,9 +205,8 @@
     dispatch_decision decision;
     double best = std::numeric_limits<double>::infinity();
     bool any_has_adapter = false;
-    bool all_busy = true;
-    const double busy_threshold =
-        replica_load_factor * mean_in_flight(fleet, query, now) + replica_load_slack;
+    adapter_supply supply;
+    std::optional<double> busy_threshold;
     for (const auto& [id, endpoint] : fleet.endpoints)
     {
         if (!is_candidate(endpoint, query, now))
@@ -173,10 +218,8 @@
                           : !has_loaded_model(endpoint, query.model))
             continue;
         any_has_adapter = true;
-        if (total_in_flight(endpoint, now) < busy_threshold ||
-            adapter_requests_in_flight(endpoint, query.adapter, now) <
-                replica_min_requests)
-            all_busy = false;
+        if (resident != nullptr)
+            count_supply(supply, fleet, endpoint, *resident, query, busy_threshold, now);
         if ((resident != nullptr && !is_ready(endpoint, *resident, query.adapter, now)) ||
             !has_free_slot(endpoint, now))
             continue;
@@ -188,7 +231,7 @@
         best = std::min(best, cost);
     }
     decision.needs_load = !query.adapter.empty() && !any_has_adapter;
-    decision.needs_replica = !query.adapter.empty() && any_has_adapter && all_busy;
+    decision.needs_replica = needs_replica(supply, query.request_hash);
     return decision;
 }
 
--- a/tests/policy/fleet_dispatch_test.cpp
+++ b/tests/policy/fleet_dispatch_test.cpp
@@ -2,6 +2,7 @@
 #include "policy/fleet/event_stream.hpp"
 #include "policy/fleet/retry_budget.hpp"
 #include "policy/fleet/wait_limits.hpp"
+#include "policy/rendezvous.hpp"
 
 #include "tests/policy/property.hpp"
 
@@ -169,6 +170,34 @@
     BOOST_TEST(!choose_endpoint(fleet, query(), now).needs_replica);
 }
 
+// Guards against a shift of popularity that takes seconds to follow: an adapter that
+// needs many engines got them one by one, because no replica was requested while one was
+// being loaded.
+BOOST_FIXTURE_TEST_CASE(a_popular_adapter_is_loaded_on_several_engines_at_once,
+                        fleet_fixture)
+{
+    endpoint_view& view = add_engine("holder");
+    set_resident(view, now);
+    set_resident(add_engine("loading"), now + milliseconds(200), false);
+    add_engine("idle-1");
+    add_engine("idle-2");
+    view.record.slots = 16;
+    view.in_flight = 16;
+    view.in_flight_by_adapter[test_adapter] = 16;
+    dispatch_query waiting = query();
+    int requested = 0;
+    constexpr int waiting_requests = 640;
+    for (int request = 0; request < waiting_requests; ++request)
+    {
+        waiting.request_hash = rendezvous_weight(std::to_string(request), "request");
+        requested += choose_endpoint(fleet, waiting, now).needs_replica ? 1 : 0;
+    }
+    // Each replica takes over as many requests as it has slots.
+    constexpr int engine_slots = 64;
+    BOOST_TEST(requested >= waiting_requests / engine_slots / 2);
+    BOOST_TEST(requested <= waiting_requests / engine_slots * 2);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_failing_or_slow_engine_is_used_last, fleet_fixture)
 {
     endpoint_view& slow = add_engine("slow");
