Announce only the crash counts that changed, and those of several engines together

Cause: each daemon that lost a request to a crashed engine sent its whole crash history to all others, three times, for each crash. With 61 daemons and 33 crashes that filled links of 10 Mbit/s: everything else on them, requests, their resets and callers' bytes, waited for a second. Class: whole state sent to everybody for each change; it grows with the square of the number of daemons, and unseen on eight of them.

Evidence: in the five seconds of the crashes a daemon sent 210 KB/s of suspects on average, the fullest one 995 KB/s in all, of the 1,250 that its link carries; 51 KB/s arrived, the rest was dropped. Ruled out: late timers (at most 123 ms).

Why this works: an announcement holds the suspects whose count changed; those of 20 ms go together; each is still sent three times, 300 ms apart, and a completed request's announcement replaces the earlier one instead of being undone by its repetition. Failed before: crashes_of_many_engines_at_once_do_not_flood_the_peers, 34,977 bytes to each peer in 2 s where the target for control traffic allows 20,000.

--- a/policy/crash_history.cpp
+++ b/policy/crash_history.cpp
@@ -65,8 +65,8 @@
         { return suspect_status_of(history, other, now) != suspect_status::allowed; });
 }
 
-void record_crash(crash_history& history, const std::set<std::string>& running,
-                  instant now)
+std::map<std::string, int> record_crash(crash_history& history,
+                                        const std::set<std::string>& running, instant now)
 {
     std::set<std::string> counted_suspects;
     for (const std::string& fingerprint : running)
@@ -74,13 +74,16 @@
         if (history.suspects.count(fingerprint) > 0)
             counted_suspects.insert(fingerprint);
     }
+    std::map<std::string, int> changed;
     for (const std::string& fingerprint :
          counted_suspects.empty() ? running : counted_suspects)
     {
         crash_suspect& suspect = history.suspects[fingerprint];
         ++suspect.crashes;
         suspect.last_crash_at = now;
+        changed[fingerprint] = suspect.crashes;
     }
+    return changed;
 }
 
 void record_completed(crash_history& history, const std::string& fingerprint)
--- a/policy/crash_history.hpp
+++ b/policy/crash_history.hpp
@@ -57,8 +57,9 @@
 
 // Records the crash of an endpoint that ran the requests with the fingerprints `running`.
 // If there are suspects among them, the crash counts for those alone, else for all.
-void record_crash(crash_history& history, const std::set<std::string>& running,
-                  instant now);
+// Returns the crash counts that changed, by fingerprint.
+std::map<std::string, int>
+record_crash(crash_history& history, const std::set<std::string>& running, instant now);
 
 // Records that a request with this fingerprint completed without a crash. It is no longer
 // a suspect, unless it is blocked already.
--- a/policy/fleet/crash_detector.cpp
+++ b/policy/fleet/crash_detector.cpp
@@ -24,19 +24,18 @@
     detector.cut_off[endpoint].push_back({fingerprint, now});
 }
 
-bool record_endpoint_lost(crash_detector& detector, const endpoint_id& endpoint,
-                          instant now)
+std::map<std::string, int> record_endpoint_lost(crash_detector& detector,
+                                                const endpoint_id& endpoint, instant now)
 {
     const auto found = detector.cut_off.find(endpoint);
     if (found == detector.cut_off.end())
-        return false;
+        return {};
     std::set<std::string> running;
     for (const cut_off_request& request : found->second)
         if (is_recent(request, now))
             running.insert(request.fingerprint);
     detector.cut_off.erase(found);
-    record_crash(detector.history, running, now);
-    return !running.empty();
+    return record_crash(detector.history, running, now);
 }
 
 std::set<endpoint_id> endpoints_with_suspects(const crash_detector& detector)
--- a/policy/fleet/crash_detector.hpp
+++ b/policy/fleet/crash_detector.hpp
@@ -35,9 +35,10 @@
                     const std::string& fingerprint, instant now);
 
 // Records a crash for the requests that were cut off shortly before their endpoint was
-// found to be unreachable, removed or restarted. Returns true if there were any.
-bool record_endpoint_lost(crash_detector& detector, const endpoint_id& endpoint,
-                          instant now);
+// found to be unreachable, removed or restarted. Returns the crash counts that changed,
+// by fingerprint.
+std::map<std::string, int> record_endpoint_lost(crash_detector& detector,
+                                                const endpoint_id& endpoint, instant now);
 
 // Returns the endpoints that run a suspect for this daemon; it must not send another one
 // there.
--- a/servers/gateway/crash_guard.cpp
+++ b/servers/gateway/crash_guard.cpp
@@ -12,17 +12,13 @@
 // Longer than one round trip, within which an endpoint that doesn't listen refuses a
 // connection.
 constexpr milliseconds probe_timeout{100};
-// Each message is sent this many times, because datagrams can be lost.
+// Each change is sent this many times, because datagrams can be lost.
 constexpr int broadcast_count = 3;
 constexpr milliseconds broadcast_interval{300};
-
-std::map<std::string, int> crash_counts(const crash_history& history)
-{
-    std::map<std::string, int> counts;
-    for (const auto& [fingerprint, suspect] : history.suspects)
-        counts[fingerprint] = suspect.crashes;
-    return counts;
-}
+// Several engines often crash together. Their suspects are collected for this long.
+constexpr milliseconds broadcast_delay{20};
+// A datagram with this many suspects fits into a few network packets.
+constexpr std::size_t max_suspects_per_message = 100;
 
 } // namespace
 
@@ -73,8 +69,7 @@
     if (request_suspect_status(exchange) != suspect_status::suspected)
         return;
     record_completed(detector_.history, fingerprint_of(exchange));
-    broadcast_repeatedly({context_.settings.id, {{fingerprint_of(exchange), 0}}},
-                         broadcast_count);
+    announce(fingerprint_of(exchange), 0);
 }
 
 void crash_guard::on_cut_off(http_exchange& exchange)
@@ -113,14 +108,16 @@
         crash_settle_time,
         [this, endpoint]
         {
-            if (!record_endpoint_lost(detector_, endpoint, context_.loop.now()))
+            const std::map<std::string, int> changed =
+                record_endpoint_lost(detector_, endpoint, context_.loop.now());
+            if (changed.empty())
                 return;
             context_.log.write("endpoint crashed",
                                {{"endpoint", endpoint.value},
                                 {"suspects", static_cast<std::int64_t>(
                                                  detector_.history.suspects.size())}});
-            broadcast_repeatedly({context_.settings.id, crash_counts(detector_.history)},
-                                 broadcast_count);
+            for (const auto& [fingerprint, crashes] : changed)
+                announce(fingerprint, crashes);
         });
 }
 
@@ -136,12 +133,55 @@
                                                    {"told_by", message.sender.value}});
 }
 
-void crash_guard::broadcast_repeatedly(const suspects_message& message, int times)
+void crash_guard::announce(const std::string& fingerprint, int crashes)
+{
+    announcements_[fingerprint] = {crashes, broadcast_count};
+    if (new_announcements_scheduled_)
+        return;
+    new_announcements_scheduled_ = true;
+    context_.loop.schedule_after(broadcast_delay, [this] { send_new_announcements(); });
+}
+
+void crash_guard::send_new_announcements()
 {
-    broadcast_(message);
-    if (times > 1)
-        context_.loop.schedule_after(broadcast_interval, [this, message, times]
-                                     { broadcast_repeatedly(message, times - 1); });
+    new_announcements_scheduled_ = false;
+    send_announcements(broadcast_count, broadcast_count);
+    if (repetition_scheduled_)
+        return;
+    repetition_scheduled_ = true;
+    context_.loop.schedule_after(broadcast_interval, [this] { repeat_announcements(); });
+}
+
+void crash_guard::repeat_announcements()
+{
+    repetition_scheduled_ = false;
+    send_announcements(1, broadcast_count - 1);
+    if (announcements_.empty())
+        return;
+    repetition_scheduled_ = true;
+    context_.loop.schedule_after(broadcast_interval, [this] { repeat_announcements(); });
+}
+
+void crash_guard::send_announcements(int min_sends_left, int max_sends_left)
+{
+    suspects_message message;
+    message.sender = context_.settings.id;
+    for (auto& [fingerprint, announced] : announcements_)
+    {
+        if (announced.sends_left < min_sends_left ||
+            announced.sends_left > max_sends_left)
+            continue;
+        --announced.sends_left;
+        message.crashes[fingerprint] = announced.crashes;
+        if (message.crashes.size() < max_suspects_per_message)
+            continue;
+        broadcast_(message);
+        message.crashes.clear();
+    }
+    if (!message.crashes.empty())
+        broadcast_(message);
+    std::erase_if(announcements_,
+                  [](const auto& entry) { return entry.second.sends_left == 0; });
 }
 
 void crash_guard::remove_expired_crashes()
--- a/servers/gateway/crash_guard.hpp
+++ b/servers/gateway/crash_guard.hpp
@@ -7,6 +7,7 @@
 #include "servers/gateway/http_exchange.hpp"
 
 #include <functional>
+#include <map>
 #include <set>
 
 namespace pollenhaven
@@ -50,12 +51,29 @@
     const std::string& fingerprint_of(http_exchange& exchange) const;
     // Connects to the endpoint to find out whether it still listens.
     void probe(const endpoint_id& endpoint);
-    // Sends the message to all peers `times` times.
-    void broadcast_repeatedly(const suspects_message& message, int times);
+    // Sends a changed crash count to all peers, several times. Changes that follow each
+    // other closely are sent together.
+    void announce(const std::string& fingerprint, int crashes);
+    // Sends the changes that were not sent yet.
+    void send_new_announcements();
+    // Sends those again that were not sent often enough yet.
+    void repeat_announcements();
+    // Broadcasts the announcements of which the given number of sends, or fewer, are
+    // left.
+    void send_announcements(int min_sends_left, int max_sends_left);
 
     gateway_context& context_;
     broadcast_function broadcast_;
     crash_detector detector_;
+    // Changed crash counts by fingerprint, and how often each is still to be sent.
+    struct announcement
+    {
+        int crashes = 0;
+        int sends_left = 0;
+    };
+    std::map<std::string, announcement> announcements_;
+    bool new_announcements_scheduled_ = false;
+    bool repetition_scheduled_ = false;
     // Endpoints with a probe in progress.
     std::set<endpoint_id> probed_;
 };
--- /dev/null
+++ b/tests/contract/crash_guard_test.cpp
@@ -0,0 +1,89 @@
+#include "core/plugin_registry.hpp"
+#include "servers/gateway/crash_guard.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <map>
+
+using namespace pollenhaven;
+
+namespace
+{
+
+// A crash guard, and what it sends to each of its peers.
+struct guard_fixture
+{
+    gateway_context context;
+    std::map<std::string, int> times_told;
+    std::size_t bytes_sent = 0;
+    crash_guard guard;
+
+    static gateway_settings settings()
+    {
+        gateway_settings result;
+        result.id = {"daemon"};
+        return result;
+    }
+
+    guard_fixture()
+        : context(settings(),
+                  plugin_registry<platform_dialect>::instance().make("fleet", "")),
+          guard(context, [this](const fleet_message& message) { on_sent(message); })
+    {
+    }
+
+    void on_sent(const fleet_message& message)
+    {
+        bytes_sent += encode(message).size();
+        for (const auto& [fingerprint, crashes] :
+             std::get<suspects_message>(message).crashes)
+            ++times_told[fingerprint];
+    }
+
+    // Cuts off a request at the engine, with content of its own.
+    void cut_off_request(const endpoint_id& engine, int number)
+    {
+        http_exchange exchange;
+        exchange.endpoint = engine;
+        exchange.head.target = "/" + engine.value;
+        exchange.body = "prompt " + std::to_string(number);
+        guard.on_cut_off(exchange);
+    }
+
+    void run_for(milliseconds duration)
+    {
+        const instant end = context.loop.now() + duration;
+        context.loop.run([&] { return context.loop.now() >= end; });
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(crash_guards)
+
+// Guards against links that are full for seconds after a crash of several engines: each
+// daemon sent all suspects that it knew, three times for each crash, to all others.
+BOOST_FIXTURE_TEST_CASE(crashes_of_many_engines_at_once_do_not_flood_the_peers,
+                        guard_fixture)
+{
+    // The target for the control traffic of a daemon, in bytes a second.
+    constexpr std::size_t max_bytes_per_second = 10'000;
+    constexpr int engines = 14;
+    constexpr int requests = 3;
+    constexpr seconds duration{2};
+    for (int engine = 0; engine < engines; ++engine)
+    {
+        const endpoint_id id{"i-" + std::to_string(engine)};
+        for (int request = 0; request < requests; ++request)
+            cut_off_request(id, request);
+        guard.on_endpoint_lost(id);
+    }
+    run_for(duration);
+    BOOST_TEST(bytes_sent <= max_bytes_per_second * duration.count());
+    // Datagrams can be lost, so every suspect is told three times.
+    BOOST_TEST(times_told.size() == std::size_t{engines * requests});
+    for (const auto& [fingerprint, times] : times_told)
+        BOOST_TEST(times >= 3, fingerprint);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
