Bound what an endpoint that sends bytes without end can make a daemon hold

Callers would have waited until their deadline, and a small instance (160 MB) would have run out of memory.

Cause: an attempt had no bound on interim responses and responses to other requests, on a body that is collected before it is passed on (64 MB each), on chunk heads and trailers (kept until they are complete), on an event without an end; and a stream was read as fast as its endpoint sent it, whatever its caller read. Class: input that is kept without a bound of its own. Requests of callers go through the same reader, so their chunk heads and trailers are bounded too.

Why this works: each of these has a limit now, after which the attempt fails with its verdict at once; a stream is paused while its caller has 256 KB left to read, which makes the endpoint wait; a paused stream doesn't count as silent.

--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -134,7 +134,7 @@
     stream& added = streams_.at(id.value);
     // The socket becomes writable once the connection is established.
     added.waiting_for_writable = true;
-    set_poll_events(added.socket.number(), id.value, EPOLLIN | EPOLLOUT, EPOLL_CTL_MOD);
+    update_poll_events(id);
     return id;
 }
 
@@ -161,6 +161,41 @@
     found->second.flush_scheduled = true;
 }
 
+void event_loop::update_poll_events(stream_id id)
+{
+    const stream& target = streams_.at(id.value);
+    const std::uint32_t events =
+        (target.reading_paused ? std::uint32_t{0} : std::uint32_t{EPOLLIN}) |
+        (target.waiting_for_writable ? std::uint32_t{EPOLLOUT} : std::uint32_t{0});
+    set_poll_events(target.socket.number(), id.value, events, EPOLL_CTL_MOD);
+}
+
+void event_loop::set_reading_paused(stream_id id, bool paused)
+{
+    const auto found = streams_.find(id.value);
+    if (found == streams_.end() || found->second.reading_paused == paused)
+        return;
+    found->second.reading_paused = paused;
+    update_poll_events(id);
+}
+
+void event_loop::pause_reading(stream_id id)
+{
+    set_reading_paused(id, true);
+}
+
+void event_loop::resume_reading(stream_id id)
+{
+    set_reading_paused(id, false);
+}
+
+std::size_t event_loop::pending_output(stream_id id) const
+{
+    const auto found = streams_.find(id.value);
+    return found == streams_.end() ? 0
+                                   : found->second.output.size() - found->second.written;
+}
+
 bool event_loop::has_written(stream_id id) const
 {
     const auto found = streams_.find(id.value);
@@ -282,9 +317,7 @@
     if (target.waiting_for_writable == all_written)
     {
         target.waiting_for_writable = !all_written;
-        const std::uint32_t events =
-            EPOLLIN | (target.waiting_for_writable ? EPOLLOUT : std::uint32_t{0});
-        set_poll_events(target.socket.number(), id.value, events, EPOLL_CTL_MOD);
+        update_poll_events(id);
     }
 }
 
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -71,6 +71,13 @@
     std::string& input(stream_id id);
     // Appends to the stream's output. Does nothing if the stream is closed.
     void send(stream_id id, std::string_view bytes);
+    // Stops reading from the stream until resume_reading() is called, so that the peer's
+    // bytes stay in the kernel and the peer has to wait.
+    void pause_reading(stream_id id);
+    void resume_reading(stream_id id);
+    // Returns the number of bytes that were not passed to the kernel yet; 0 if the stream
+    // is closed.
+    std::size_t pending_output(stream_id id) const;
     // Returns true once any byte of the current output has been passed to the kernel.
     // Until then the peer can't have received any of it. The current output begins with
     // the first send() after all earlier output was written.
@@ -113,6 +120,7 @@
         std::string output;
         std::size_t written = 0;
         bool waiting_for_writable = false;
+        bool reading_paused = false;
         bool closes_after_output = false;
         bool flush_scheduled = false;
         bool has_written = false;
@@ -122,6 +130,8 @@
     stream_id add_stream(file_descriptor socket, stream_handlers handlers);
     void set_poll_events(int descriptor, std::uint64_t tag, std::uint32_t events,
                          int operation);
+    void update_poll_events(stream_id id);
+    void set_reading_paused(stream_id id, bool paused);
     void accept_all(std::uint64_t tag);
     void read_stream(stream_id id);
     void write_stream(stream_id id);
--- a/servers/gateway/http_exchange.hpp
+++ b/servers/gateway/http_exchange.hpp
@@ -82,6 +82,10 @@
     // True if the response being read belongs to an earlier request or is an interim
     // (1xx) one, and isn't passed on.
     bool discards_response = false;
+    // Responses of the current attempt that were not passed on for that reason.
+    int discarded_responses = 0;
+    // The endpoint's connection isn't read, because the caller reads too slowly.
+    bool is_paused = false;
     // Checks that the response begins in time, and later that the stream hasn't stalled.
     timer_id timer;
     timer_id deadline_timer;
--- a/servers/gateway/http_reader.cpp
+++ b/servers/gateway/http_reader.cpp
@@ -70,7 +70,7 @@
 } // namespace
 
 http_reader::http_reader(message_kind kind, const message_limits& limits)
-    : parser_(std::make_unique<parser>())
+    : parser_(std::make_unique<parser>()), max_line_bytes_(limits.head_bytes)
 {
     if (kind == message_kind::request)
         configure(parser_->request.emplace(), limits);
@@ -78,6 +78,11 @@
         configure(parser_->response.emplace(), limits);
 }
 
+bool http_reader::is_done() const
+{
+    return parser_->request ? parser_->request->is_done() : parser_->response->is_done();
+}
+
 http_reader::~http_reader() = default;
 http_reader::http_reader(http_reader&&) noexcept = default;
 http_reader& http_reader::operator=(http_reader&&) noexcept = default;
@@ -119,6 +124,9 @@
         take_head();
     if (error)
         return fail(error.value());
+    // What is left of the input is an incomplete head, chunk head or trailer.
+    if (input.size() > max_line_bytes_ && !is_done())
+        return fail(static_cast<int>(http::error::header_limit));
     return parser_->request ? state_of(*parser_->request) : state_of(*parser_->response);
 }
 
--- a/servers/gateway/http_reader.hpp
+++ b/servers/gateway/http_reader.hpp
@@ -74,8 +74,12 @@
 
     void take_head();
     read_state fail(int error_value);
+    bool is_done() const;
 
     std::unique_ptr<parser> parser_;
+    // Limit on the head, and on the other parts of the message that are only parsed
+    // whole.
+    std::size_t max_line_bytes_ = 0;
     http_head head_;
     bool has_head_ = false;
     read_error error_ = read_error::none;
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -161,6 +161,8 @@
     exchange.sent_at = now;
     exchange.has_response_head = false;
     exchange.discards_response = false;
+    exchange.discarded_responses = 0;
+    exchange.is_paused = false;
     exchange.phase = exchange.phase == exchange_phase::resuming
                          ? exchange_phase::responding
                          : exchange_phase::sent;
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -91,6 +91,9 @@
     void relay(http_exchange& exchange, bool is_complete);
     void relay_stream(http_exchange& exchange, bool is_complete);
     void relay_complete_response(http_exchange& exchange);
+    // Reads no more of a stream while its caller has not read what was sent before.
+    void pause_if_caller_is_slow(http_exchange& exchange);
+    void resume_if_caller_caught_up(exchange_id id);
     // Schedules check_stall() for a resumable stream, if it isn't scheduled yet.
     void schedule_stall_check(http_exchange& exchange);
     // Fails the attempt if the stream has stalled, so that another endpoint resumes it.
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -27,6 +27,17 @@
 // A resumable stream without new bytes for this time is resumed at another endpoint. Busy
 // engines pause for a third of a second; callers wait for two seconds or more.
 constexpr milliseconds stream_stall_timeout{1200};
+// Limits on what an endpoint can make the daemon hold for one request: a response that is
+// passed on only when it is complete, and the beginning of an event of a stream.
+constexpr std::size_t max_buffered_response_bytes = 8UL << 20U;
+constexpr std::size_t max_event_bytes = 1UL << 20U;
+// Interim responses, and responses to earlier requests, that are skipped before the
+// response to a request.
+constexpr int max_discarded_responses = 8;
+// A stream is paused while its caller has this much left to read, and resumed at half of
+// it. The caller's progress is checked at this interval.
+constexpr std::size_t max_unread_stream_bytes = 256UL << 10U;
+constexpr milliseconds caller_progress_interval{20};
 // A request that may be retried is sent to another endpoint if the response to its first
 // attempt hasn't begun after this multiple of its target latency.
 constexpr int response_start_factor = 4;
@@ -103,8 +114,15 @@
             !process_response_head(exchange))
             return;
         const bool is_complete = state == read_state::complete;
+        if (exchange.discards_response)
+            exchange.reader->body.clear();
+        if (exchange.reader->body.size() > max_buffered_response_bytes)
+            return on_attempt_failed(exchange, "the endpoint's answer is too long", true);
         if (is_complete && exchange.discards_response)
         {
+            if (++exchange.discarded_responses > max_discarded_responses)
+                return on_attempt_failed(
+                    exchange, "the endpoint sends answers to other requests", true);
             // This was an interim response, or the response to an earlier request. The
             // response to this request follows.
             exchange.reader.emplace(http_reader::message_kind::response,
@@ -212,14 +230,49 @@
         const std::string last = find_last_event_id(bytes);
         if (!last.empty())
             exchange.last_event_id = last;
+        if (exchange.partial_event.size() > max_event_bytes)
+            return on_attempt_failed(exchange, "an event of the stream is too long",
+                                     true);
     }
     callers_.send_chunk(exchange.caller, bytes);
     if (!is_complete)
+    {
+        pause_if_caller_is_slow(exchange);
         return schedule_stall_check(exchange);
+    }
     callers_.end_response(exchange.caller);
     complete(exchange, true);
 }
 
+void request_flow::pause_if_caller_is_slow(http_exchange& exchange)
+{
+    if (exchange.is_paused ||
+        context_.loop.pending_output(exchange.caller) <= max_unread_stream_bytes)
+        return;
+    exchange.is_paused = true;
+    context_.loop.pause_reading(exchange.upstream);
+    const exchange_id id = exchange.id;
+    context_.loop.schedule_after(caller_progress_interval,
+                                 [this, id] { resume_if_caller_caught_up(id); });
+}
+
+void request_flow::resume_if_caller_caught_up(exchange_id id)
+{
+    const auto found = exchanges_.find(id.value);
+    if (found == exchanges_.end() || !found->second.is_paused)
+        return;
+    http_exchange& exchange = found->second;
+    if (context_.loop.pending_output(exchange.caller) > max_unread_stream_bytes / 2)
+    {
+        context_.loop.schedule_after(caller_progress_interval,
+                                     [this, id] { resume_if_caller_caught_up(id); });
+        return;
+    }
+    exchange.is_paused = false;
+    exchange.last_chunk_at = context_.loop.now();
+    context_.loop.resume_reading(exchange.upstream);
+}
+
 void request_flow::schedule_stall_check(http_exchange& exchange)
 {
     if (!exchange.matched_route->resumable || exchange.timer.value != 0)
@@ -233,6 +286,9 @@
 {
     http_exchange& exchange = exchanges_.at(id.value);
     exchange.timer = {};
+    // While the caller is behind, the endpoint has to wait.
+    if (exchange.is_paused)
+        exchange.last_chunk_at = context_.loop.now();
     const bool is_stalled =
         context_.loop.now() - exchange.last_chunk_at >= stream_stall_timeout;
     if (is_stalled && may_retry(exchange))
--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <sys/socket.h>
+
 #include <functional>
 
 using namespace pollenhaven;
@@ -29,6 +31,8 @@
     bool resets = false;
     // Has no effect: the endpoint always responds once it has the head of a request.
     bool early = false;
+    // Sent again and again after `bytes`, until the daemon closes the connection.
+    std::string repeated;
 };
 
 std::string replaced(std::string text, const std::string& pattern,
@@ -48,6 +52,8 @@
     std::vector<std::string> requests;
     int connections = 0;
     int closed_by_daemon = 0;
+    // Bytes of `endpoint_script::repeated` that were passed on for sending.
+    std::size_t repeated_bytes = 0;
 
     explicit scripted_endpoint(event_loop& shared_loop) : loop(shared_loop)
     {
@@ -77,11 +83,32 @@
         const std::size_t index = std::min(requests.size(), scripts.size()) - 1;
         const endpoint_script& script = scripts.at(index);
         loop.send(from, replaced(script.bytes, "ID", id));
+        if (!script.repeated.empty())
+            send_repeatedly(from, script.repeated);
         if (script.resets)
             loop.schedule_after(milliseconds(20), [this, from] { loop.reset(from); });
         else if (script.closes)
             loop.close_after_output(from);
     }
+
+    // Keeps the connection full until the daemon closes it.
+    void send_repeatedly(stream_id from, const std::string& bytes)
+    {
+        constexpr std::size_t block_size = 65536;
+        constexpr std::size_t max_pending = 4 * block_size;
+        if (!loop.is_open(from))
+            return;
+        std::string block;
+        while (block.size() < block_size)
+            block += bytes;
+        while (loop.pending_output(from) < max_pending)
+        {
+            loop.send(from, block);
+            repeated_bytes += block.size();
+        }
+        loop.schedule_after(milliseconds(1),
+                            [this, from, bytes] { send_repeatedly(from, bytes); });
+    }
 };
 
 // The request path of a daemon with two scripted endpoints, all on one event loop.
@@ -551,4 +578,96 @@
     BOOST_TEST(test.ended);
 }
 
+// Guards against a daemon that runs out of memory, or a request that is held to its
+// deadline, because an endpoint sends bytes that are no response without end. Each row
+// has the beginning of the response and what follows without end.
+BOOST_AUTO_TEST_CASE(
+    endless_bytes_from_an_endpoint_end_the_request_in_bounded_time_and_space)
+{
+    struct endless_case
+    {
+        const char* case_name;
+        const char* path;
+        const char* service;
+        std::string begin;
+        std::string repeated;
+        const char* status;
+    };
+    // A quarter of the memory of a small instance, of which the kernel's buffers between
+    // two local sockets take a good part.
+    constexpr std::size_t max_bytes = 40'000'000;
+    constexpr milliseconds max_time{1000};
+    const std::string plain_head =
+        "HTTP/1.1 200 OK\r\nX-Pollenhaven-Request-Id: ID\r\n" + signature_field;
+    const std::vector<endless_case> rows{
+        {"header fields", "/once/1", "plain", "HTTP/1.1 200 OK\r\n", "A: b\r\n", "502"},
+        {"one header field", "/once/1", "plain", "HTTP/1.1 200 OK\r\nA: ", "b", "502"},
+        {"no head", "/once/1", "plain", "", "odd", "502"},
+        {"interim responses", "/once/1", "plain", "", "HTTP/1.1 100 Continue\r\n\r\n",
+         "502"},
+        {"responses to other requests", "/once/1", "plain", "",
+         make_response("200 OK", signature_field, "other"), "502"},
+        {"body without length", "/once/1", "plain", plain_head + "\r\n", "body", "502"},
+        {"chunks", "/once/1", "plain", plain_head + "Transfer-Encoding: chunked\r\n\r\n",
+         "4\r\nbody\r\n", "502"},
+        {"chunk extension", "/once/1", "plain",
+         plain_head + "Transfer-Encoding: chunked\r\n\r\n4;", "a", "502"},
+        {"trailer fields", "/once/1", "plain",
+         plain_head + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "A: b\r\n", "502"},
+        {"a body after a failure", "/chat/1", "assistant",
+         "HTTP/1.1 500 Error\r\nX-Pollenhaven-Request-Id: ID\r\n" + signature_field +
+             "\r\n",
+         "body", "502"},
+        {"an event without end", "/again/1", "assistant", stream_head, "4\r\nbody\r\n",
+         "200"},
+        {"a header field of a stream", "/chat/1", "assistant",
+         "HTTP/1.1 200 OK\r\nA: ", "b", "502"}};
+    for (const endless_case& row : rows)
+    {
+        BOOST_TEST_CONTEXT(row.case_name)
+        {
+            flow_fixture test;
+            test.add_endpoint("i-1", row.service, test.first);
+            test.first.scripts = {{row.begin, false, false, false, row.repeated}};
+            const instant began = boot_clock::now();
+            const std::string response = test.send_request(row.path);
+            BOOST_TEST(to_milliseconds(boot_clock::now() - began).count() <
+                       max_time.count());
+            BOOST_TEST(response.starts_with("HTTP/1.1 " + std::string(row.status)));
+            BOOST_TEST(!response.ends_with("0\r\n\r\n"));
+            BOOST_TEST(test.first.repeated_bytes <= max_bytes);
+            BOOST_TEST(test.first.closed_by_daemon >= 1);
+        }
+    }
+}
+
+// Guards against a daemon that runs out of memory because an endpoint sends a stream
+// faster than its caller reads it, here without end.
+BOOST_AUTO_TEST_CASE(a_stream_is_read_no_faster_than_its_caller_reads_it)
+{
+    // As above.
+    constexpr std::size_t max_bytes = 40'000'000;
+    flow_fixture test;
+    test.add_endpoint("i-1", "assistant", test.first);
+    test.first.scripts = {
+        {stream_head, false, false, false, chunk("id: 1\ndata: a\n\n")}};
+    // This caller never reads.
+    const file_descriptor caller = connect_to(test.address);
+    test.run_until([] { return false; }, milliseconds(50));
+    const std::string request = "POST /chat/1 HTTP/1.1\r\nHost: h\r\n"
+                                "X-Pollenhaven-Request-Id: id-1\r\n"
+                                "Content-Length: 0\r\n\r\n";
+    BOOST_REQUIRE(::send(caller.number(), request.data(), request.size(), 0) ==
+                  static_cast<ssize_t>(request.size()));
+    test.run_until([] { return false; }, milliseconds(1200));
+    BOOST_TEST(test.first.requests.size() == 1U);
+    BOOST_TEST(test.first.repeated_bytes <= max_bytes);
+    // The request still ends at its deadline.
+    test.run_until([&] { return test.flow.requests_in_flight() == 0; },
+                   milliseconds(1000));
+    BOOST_TEST(test.flow.requests_in_flight() == 0U);
+    test.run_until([&] { return test.first.closed_by_daemon > 0; }, milliseconds(200));
+    BOOST_TEST(test.first.closed_by_daemon >= 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
