Expect a load of a given version to come from the weight store

After an operator named a new version of an adapter, an engine that had held the old one was expected to load the new one from its own memory in 25 ms, outside the limit on loads from the store. Requests were sent long before its end and refused; after three refusals a request leaves the engine alone.

The engine's memory has only versions that it loaded before, and which ones isn't known, so a load of a given version counts as one from the store, in the choice of the limit as in the expectation.

--- a/policy/fleet/engine_orders.cpp
+++ b/policy/fleet/engine_orders.cpp
@@ -53,6 +53,14 @@
                   });
 }
 
+// Returns true if the engine would load the adapter from the weight store. Which versions
+// its own memory has isn't known, so that is assumed for all loads of a given version.
+bool loads_from_store(const engine_state& engine, const adapter_id& adapter,
+                      const std::optional<adapter_version>& version)
+{
+    return !engine.previously_loaded.contains(adapter) || version.has_value();
+}
+
 bool is_served(const engine_state& engine, const adapter_id& adapter,
                const pending_load& pending)
 {
@@ -171,8 +179,7 @@
     if (pending == engine.pending_loads.end())
         return {};
     const adapter_id adapter = pending->first;
-    const bool from_store =
-        !engine.previously_loaded.contains(adapter) || pending->second.version;
+    const bool from_store = loads_from_store(engine, adapter, pending->second.version);
     if (load_limit_reached(engine, from_store, loads_in_progress, timing, now))
         return {};
     const auto current = engine.slots.find(adapter);
@@ -223,7 +230,7 @@
         return;
     }
     adapter_slot& slot = engine.slots[order.adapter];
-    slot.from_store = !engine.previously_loaded.contains(order.adapter);
+    slot.from_store = loads_from_store(engine, order.adapter, order.version);
     slot.version = order.version.value_or(adapter_version{1});
     slot.state = complete ? slot_state::resident : slot_state::loading;
     slot.changed_at = now;
--- a/tests/policy/fleet_engine_orders_test.cpp
+++ b/tests/policy/fleet_engine_orders_test.cpp
@@ -223,6 +223,22 @@
     BOOST_TEST(std::holds_alternative<std::monostate>(send_next()));
 }
 
+// Guards against requests that are sent, and refused three times, long before a new
+// version is loaded: an engine's own memory has only the versions that it loaded before.
+BOOST_FIXTURE_TEST_CASE(a_new_version_of_an_adapter_is_loaded_from_the_weight_store,
+                        engine_fixture)
+{
+    load_adapter(1);
+    pending_load new_version = waiting_load(1, now + seconds(10));
+    new_version.version = adapter_version{2};
+    add_pending_load(engine, adapter(1), new_version, now);
+    BOOST_REQUIRE(order_of(send_next()) != nullptr);
+    end_order(order_outcome::accepted);
+    const adapter_slot& slot = engine.slots.at(adapter(1));
+    BOOST_TEST(slot.from_store);
+    BOOST_TEST((slot.ready_at - now >= expected_load_duration(timing.load_times, 1)));
+}
+
 BOOST_FIXTURE_TEST_CASE(an_empty_engine_gets_its_base_model_first, engine_fixture)
 {
     engine.has_model = false;
