Try an unreachable endpoint with one request at a time

Cause: when the back-off of an unreachable endpoint had passed, all requests that waited for it were sent there at once, and each waited for its own connection time-out. Class: a circuit breaker without a half-open state.

Why this works: a request that is sent to an endpoint that could not be reached counts as a trial, and no other one follows before its outcome is known; a response ends the back-off at once. Still each daemon finds out for itself; whether they should tell each other is open.

Failed before: an_unreachable_endpoint_is_tried_by_one_request_at_a_time.

--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -28,6 +28,8 @@
 // time.
 constexpr milliseconds connect_backoff{200};
 constexpr int max_connect_backoff_doublings = 3;
+// Within this time a connection is established or given up.
+constexpr milliseconds trial_time{250};
 // Weight of a new sample in the moving averages.
 constexpr double sample_weight = 0.2;
 constexpr double failure_share_half_life_s = 2.0;
@@ -90,9 +92,17 @@
             : endpoint.first_byte_ms + sample_weight * (value - endpoint.first_byte_ms);
     endpoint.first_byte_at = now;
     endpoint.failure_share *= 1 - sample_weight;
+    if (endpoint.connect_failures > 0)
+        endpoint.backoff_until = now;
     endpoint.connect_failures = 0;
 }
 
+void record_sent(endpoint_view& endpoint, instant now)
+{
+    if (endpoint.connect_failures > 0)
+        endpoint.backoff_until = now + trial_time;
+}
+
 void record_unreachable(endpoint_view& endpoint, instant now)
 {
     const int doublings =
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -174,6 +174,10 @@
 // sent to it for a back-off time that doubles with each failure, up to a maximum.
 void record_unreachable(endpoint_view& endpoint, instant now);
 
+// Records that a request was sent. If the endpoint could not be reached before, this is a
+// trial, and no further requests are sent before its outcome should be known.
+void record_sent(endpoint_view& endpoint, instant now);
+
 // Records the number of loads queued for the engine, as reported by its holder.
 void record_load_queue(endpoint_view& endpoint, int queued_loads, instant now);
 
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -177,6 +177,7 @@
                        context_.dialect.write_forwarded_request(
                            exchange.head, exchange.body.size(), fields) +
                            exchange.body);
+    record_sent(view, now);
     view.in_flight += 1;
     view.pending_prefill_tokens += exchange.request.prompt_tokens;
     exchange.prefill_pending = true;
--- a/tests/policy/fleet_dispatch_test.cpp
+++ b/tests/policy/fleet_dispatch_test.cpp
@@ -295,6 +295,27 @@
     BOOST_TEST((view.backoff_until - now == first));
 }
 
+// Guards against requests that all wait for the connection time-out of the same dead
+// engine, once its back-off has passed.
+BOOST_FIXTURE_TEST_CASE(an_unreachable_endpoint_is_tried_by_one_request_at_a_time,
+                        fleet_fixture)
+{
+    endpoint_view& view = add_engine("holder");
+    set_resident(view, now);
+    record_unreachable(view, now);
+    now += seconds(2);
+    BOOST_TEST(choose_endpoint(fleet, query(), now).endpoint.has_value());
+    record_sent(view, now);
+    view.in_flight = 1;
+    BOOST_TEST(!choose_endpoint(fleet, query(), now).endpoint.has_value());
+    // Its response shows that the engine is back.
+    record_first_byte(view, milliseconds(20), now);
+    BOOST_TEST(choose_endpoint(fleet, query(), now).endpoint.has_value());
+    // An engine that was never unreachable takes any number of requests.
+    record_sent(view, now);
+    BOOST_TEST(choose_endpoint(fleet, query(), now).endpoint.has_value());
+}
+
 BOOST_AUTO_TEST_CASE(callers_are_not_sent_to_unresponsive_leaving_or_unready_daemons)
 {
     fleet_fixture base_fleet;
