Adopt learned load times from peers, and refuse nothing because of figures that are not learned

Cause: the refusal used the settings' first values like learned ones. Heartbeats now carry what a daemon has learned, and one that has learned nothing takes it over; until then a load is expected to run at full speed when a refusal is decided. The limits on concurrent loads still start from the settings.

Test: a_daemon_that_has_learned_nothing_adopts_what_a_peer_has_learned.

--- a/bench/product_daemons.cpp
+++ b/bench/product_daemons.cpp
@@ -438,6 +438,7 @@
                                                 sender_view.pending_prefill_tokens,
                                                 sender_view.in_flight_by_adapter,
                                                 {}};
+    message.load_times = view(daemon).load_times;
     message.load_observations =
         std::exchange(observations_[static_cast<std::size_t>(daemon)], {});
     broadcast(daemon, message);
--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -291,7 +291,10 @@
     const int queued = found == fleet.endpoints.end() ? 0 : found->second.queued_loads;
     // About half of the queued loads expire, or another engine serves them first.
     const int ahead = queued / 2 + 1;
-    return expected_load_duration(fleet.load_times, fleet.loads_in_progress) * ahead;
+    // No request is refused because of a slowdown that was never seen.
+    const int concurrent_loads =
+        fleet.load_times.is_learned ? fleet.loads_in_progress : 1;
+    return expected_load_duration(fleet.load_times, concurrent_loads) * ahead;
 }
 
 } // namespace pollenhaven
--- a/policy/fleet/load_time_model.cpp
+++ b/policy/fleet/load_time_model.cpp
@@ -48,6 +48,16 @@
     return milliseconds(std::llround(expected_ms(model, concurrent_loads)));
 }
 
+void adopt_load_times(load_time_model& model, const load_time_model& of_peer)
+{
+    if (model.is_learned || !of_peer.is_learned)
+        return;
+    model = of_peer;
+    set_loads_at_full_speed(model, of_peer.loads_at_full_speed);
+    model.full_speed_ms =
+        std::clamp(of_peer.full_speed_ms, min_full_speed_ms, max_full_speed_ms);
+}
+
 bool is_informative(const load_time_model& model, const load_observation& observed)
 {
     const double expected = expected_ms(model, observed.concurrent_loads);
@@ -64,6 +74,7 @@
     const double difference = std::pow(elapsed / expected, adopted_share);
     const double factor = observed.complete ? std::min(difference, 1.0) * reduction
                                             : std::max(difference, 1.0) * increase;
+    model.is_learned = true;
     const double loads = observed.concurrent_loads;
     if (loads > model.loads_at_full_speed)
         set_loads_at_full_speed(model, model.loads_at_full_speed / factor);
--- a/policy/fleet/load_time_model.hpp
+++ b/policy/fleet/load_time_model.hpp
@@ -14,6 +14,8 @@
     double loads_at_full_speed = 8;
     // Moving average of the number of concurrent loads in observations.
     double usual_concurrent_loads = 1;
+    // False while the figures are those of the settings.
+    bool is_learned = false;
 };
 
 // What is known about one load at a point in time.
@@ -33,6 +35,9 @@
 // than expected, or not complete though it was expected to be.
 bool is_informative(const load_time_model& model, const load_observation& observed);
 
+// Takes over what a peer has learned, if nothing was learned here yet.
+void adopt_load_times(load_time_model& model, const load_time_model& of_peer);
+
 // Moves the model towards the observation. Expectations that hold are lowered slightly,
 // so that they also follow a store that turned faster. Has no effect if the observation
 // isn't informative.
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -90,7 +90,10 @@
             {"leaving", message.leaving},
             {"silence", message.store_silence.count()},
             {"use", encode_endpoint_loads(message.endpoint_loads)},
-            {"loads", encode_observations(message.load_observations)}};
+            {"loads", encode_observations(message.load_observations)},
+            {"store",
+             {message.load_times.is_learned, message.load_times.full_speed_ms,
+              message.load_times.loads_at_full_speed}}};
 }
 
 json encode_body(const inventory_message& message)
@@ -183,6 +186,13 @@
     // Daemons of an earlier release don't send observations.
     if (body.contains("loads"))
         message.load_observations = decode_observations(body.at("loads"));
+    if (body.contains("store"))
+    {
+        const json& store = body.at("store");
+        message.load_times.is_learned = store.at(0).get<bool>();
+        message.load_times.full_speed_ms = store.at(1).get<double>();
+        message.load_times.loads_at_full_speed = store.at(2).get<double>();
+    }
     return message;
 }
 
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -39,6 +39,8 @@
     std::map<endpoint_id, endpoint_load> endpoint_loads;
     // What the sender has observed of loads since its last heartbeat.
     std::vector<load_observation> load_observations;
+    // What the sender has learned from all observations.
+    load_time_model load_times;
 };
 
 // The load of one daemon at one endpoint, without the counts by adapter.
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -324,6 +324,7 @@
     message.leaving = context_.leaving;
     message.store_silence = store_silence(context_);
     message.load_observations = take_load_observations(context_);
+    message.load_times = context_.fleet.load_times;
     for (const auto& [endpoint, counts] : flow_.take_started_requests())
         message.endpoint_loads[endpoint].started_by_adapter = counts;
     for (const auto& [endpoint, view] : context_.fleet.endpoints)
--- a/tests/policy/load_time_model_test.cpp
+++ b/tests/policy/load_time_model_test.cpp
@@ -111,6 +111,23 @@
     BOOST_TEST((expected_load_duration(model, 1) == milliseconds(250)));
 }
 
+// A daemon that restarts learns from its peers what they know, and forgets nothing that
+// it has seen itself.
+BOOST_AUTO_TEST_CASE(a_daemon_that_has_learned_nothing_adopts_what_a_peer_has_learned)
+{
+    load_time_model peer;
+    load_time_model model;
+    adopt_load_times(model, peer);
+    BOOST_TEST(!model.is_learned);
+    observe_load(peer, {64, milliseconds(300), true});
+    adopt_load_times(model, peer);
+    BOOST_TEST(model.is_learned);
+    BOOST_TEST(model.loads_at_full_speed == peer.loads_at_full_speed);
+    observe_load(peer, {64, milliseconds(300), true});
+    adopt_load_times(model, peer);
+    BOOST_TEST(model.loads_at_full_speed < peer.loads_at_full_speed);
+}
+
 // Loads that start together end late together. Only the first of them may raise the
 // expectation; else it would rise with each one.
 BOOST_AUTO_TEST_CASE(late_loads_that_the_raised_expectation_explains_change_nothing)
