Spend less of a daemon's processor on its peers' messages

Cause: work that grows with the square of the number of daemons. Each inventory made a daemon look for an endpoint for all waiting requests (1,119 dispatches in 5 s, 1.8 s of a full loop's 4.0); each heartbeat made it search all endpoints for loads of its sender; changes of endpoint load were sent every 5 ms to all. Class: a cost per peer that nobody notices among eight.

Why this works: an inventory concerns the requests that wait for its adapters, and the periodic pass 15 ms later the others; a member knows the endpoints at which it has loads; load changes are collected for 0.6 ms a member, 5 ms at eight as before, so that the messages a daemon receives stay bounded.

--- a/bench/product_daemons.cpp
+++ b/bench/product_daemons.cpp
@@ -16,7 +16,6 @@
 // The same intervals as in the gateway.
 constexpr milliseconds load_request_interval{120};
 constexpr milliseconds replica_request_interval{500};
-constexpr milliseconds endpoint_load_interval{5};
 constexpr milliseconds heartbeat_interval{200};
 constexpr milliseconds periodic_work_interval{15};
 constexpr milliseconds queue_broadcast_delay{40};
@@ -298,7 +297,7 @@
 {
     held_engine& held = engines_[static_cast<std::size_t>(engine)];
     const int holder = holder_of(engine);
-    fleet_view& fleet = view(holder);
+    const fleet_view& fleet = view(holder);
     const endpoint_view& holder_view = fleet.endpoints.at(engine_name(engine));
     const instant now = emulated_.now();
     remove_loads_served_elsewhere(
@@ -306,7 +305,6 @@
         { return is_loaded_elsewhere(fleet, holder_view, adapter, now); });
     const adapter_usage usage = [&](const adapter_id& adapter)
     { return adapter_requests_in_flight(holder_view, adapter, now); };
-    count_loads_in_progress(fleet, now);
     const engine_action action =
         next_action(held.state, usage, fleet.loads_in_progress, timing_at(engine), now);
     if (std::holds_alternative<report_request>(action))
@@ -395,7 +393,7 @@
 
 void product_daemons::broadcast_endpoint_load()
 {
-    emulated_.schedule_after(endpoint_load_interval,
+    emulated_.schedule_after(endpoint_load_interval(profile_.daemons),
                              [this] { broadcast_endpoint_load(); });
     for (int daemon = 0; daemon < profile_.daemons; ++daemon)
     {
@@ -447,6 +445,8 @@
 void product_daemons::run_periodic_work()
 {
     emulated_.schedule_after(periodic_work_interval, [this] { run_periodic_work(); });
+    for (fleet_view& fleet : views_)
+        count_loads_in_progress(fleet, emulated_.now());
     for (int engine = 0; engine < profile_.engines; ++engine)
         send_next_action(engine);
     for (int daemon = 0; daemon < profile_.daemons; ++daemon)
--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -33,6 +33,9 @@
 // Weight of a new sample in the moving averages.
 constexpr double sample_weight = 0.2;
 constexpr double failure_share_half_life_s = 2.0;
+// The prefill of one prompt takes much longer.
+constexpr milliseconds min_endpoint_load_interval{5};
+constexpr microseconds endpoint_load_time_per_member{600};
 // The platform's limit on addresses in one directory response.
 constexpr std::size_t max_directory_addresses = 64;
 
@@ -223,6 +226,13 @@
     return std::max(1, live);
 }
 
+milliseconds endpoint_load_interval(int members)
+{
+    return std::max(min_endpoint_load_interval,
+                    std::chrono::duration_cast<milliseconds>(
+                        members * endpoint_load_time_per_member));
+}
+
 std::vector<network_address> caller_addresses(const fleet_view& fleet, instant now)
 {
     std::vector<network_address> addresses;
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -36,6 +36,8 @@
     std::optional<instant> lease_ended_at;
     // The time since the store last responded to the member, as of its last heartbeat.
     milliseconds store_silence{0};
+    // Endpoints at which this daemon knows a load of the member.
+    std::set<endpoint_id> loaded_endpoints;
 };
 
 // An adapter that is loaded on an engine or is being loaded.
@@ -210,6 +212,11 @@
 // Returns the number of daemons with a lease in the store, including this one.
 int live_member_count(const fleet_view& fleet);
 
+// Returns for how long a daemon collects changes of its endpoint load before it sends
+// them to its peers. Every daemon receives those of all others, so the time grows with
+// their number.
+milliseconds endpoint_load_interval(int members);
+
 // Returns the addresses of the daemons that callers may use, including this one if it is
 // ready.
 std::vector<network_address> caller_addresses(const fleet_view& fleet, instant now);
--- a/servers/gateway/engine_controller.cpp
+++ b/servers/gateway/engine_controller.cpp
@@ -143,7 +143,6 @@
         { return is_loaded_elsewhere(context_.fleet, view->second, adapter, now); });
     const adapter_usage usage = [&](const adapter_id& adapter)
     { return adapter_requests_in_flight(view->second, adapter, now); };
-    count_loads_in_progress(context_.fleet, now);
     const engine_action action = next_action(
         engine.state, usage, context_.fleet.loads_in_progress, current_timing(), now);
     if (std::holds_alternative<report_request>(action))
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -1,6 +1,7 @@
 #include "servers/gateway/fleet_watcher.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pollenhaven
 {
@@ -235,11 +236,13 @@
 void apply_endpoint_load(fleet_view& fleet, const endpoint_load_message& message,
                          instant now)
 {
+    member_view& member = fleet.members[message.sender];
     for (const auto& [endpoint, counts] : message.counts)
     {
         const auto found = fleet.endpoints.find(endpoint);
         if (found == fleet.endpoints.end())
             continue;
+        member.loaded_endpoints.insert(endpoint);
         peer_load& load = found->second.peers[message.sender];
         load.in_flight = counts.in_flight;
         load.pending_prefill_tokens = counts.pending_prefill_tokens;
@@ -259,15 +262,20 @@
     adopt_load_times(fleet.load_times, message.load_times);
     for (const load_observation& observed : message.load_observations)
         observe_load(fleet.load_times, observed);
-    for (auto& [id, view] : fleet.endpoints)
-        view.peers.erase(message.sender);
+    for (const endpoint_id& endpoint : std::exchange(member.loaded_endpoints, {}))
+    {
+        const auto found = fleet.endpoints.find(endpoint);
+        if (found != fleet.endpoints.end() && !message.endpoint_loads.contains(endpoint))
+            found->second.peers.erase(message.sender);
+    }
     for (const auto& [endpoint, load] : message.endpoint_loads)
     {
         const auto found = fleet.endpoints.find(endpoint);
-        if (found != fleet.endpoints.end())
-            found->second.peers[message.sender] = {load.in_flight,
-                                                   load.pending_prefill_tokens,
-                                                   load.in_flight_by_adapter, now};
+        if (found == fleet.endpoints.end())
+            continue;
+        found->second.peers[message.sender] = {
+            load.in_flight, load.pending_prefill_tokens, load.in_flight_by_adapter, now};
+        member.loaded_endpoints.insert(endpoint);
     }
 }
 
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -28,9 +28,6 @@
 // Interval of the heartbeats, which carry liveness and endpoint load. The data of peers
 // that routing decisions use can be this old.
 constexpr milliseconds heartbeat_interval{200};
-// Changes of endpoint load are collected for this long before they are sent to the peers.
-// The prefill of one prompt takes much longer.
-constexpr milliseconds endpoint_load_interval{5};
 // Interval at which claims, due orders and waiting requests are checked.
 constexpr milliseconds work_interval{15};
 constexpr milliseconds housekeeping_interval{250};
@@ -89,6 +86,8 @@
     void on_datagram(std::string_view bytes);
     void handle_message(const fleet_message& message);
     void dispatch_waiting();
+    // Dispatches the requests that wait for an adapter of the inventory.
+    void dispatch_waiting_for(const inventory_message& inventory);
     void broadcast(const fleet_message& message);
     void request_load(const load_request_message& request);
     void send_heartbeat();
@@ -157,8 +156,8 @@
                                           context_.loop.now());
               apply_inventory(context_.fleet, *inventory, context_.loop.now());
               // The dispatch is deferred, because this function may be called during one.
-              context_.loop.schedule_after(milliseconds(0),
-                                           [this] { dispatch_waiting(); });
+              context_.loop.schedule_after(milliseconds(0), [this, changed = *inventory]
+                                           { dispatch_waiting_for(changed); });
           }),
       membership_(context_, [this](const endpoint_id& endpoint)
                   { engine_controller_.permission_changed(endpoint); }),
@@ -184,8 +183,9 @@
     flow_.on_endpoint_load_changed(
         [this]
         {
-            context_.loop.schedule_after(endpoint_load_interval,
-                                         [this] { broadcast_endpoint_load(); });
+            context_.loop.schedule_after(
+                endpoint_load_interval(live_member_count(context_.fleet)),
+                [this] { broadcast_endpoint_load(); });
         });
     context_.incarnation = {random_hex(incarnation_bytes)};
     engine_controller_.attach(membership_);
@@ -259,7 +259,7 @@
     else if (const auto* inventory = std::get_if<inventory_message>(&message))
     {
         apply_inventory(context_.fleet, *inventory, now);
-        dispatch_waiting();
+        dispatch_waiting_for(*inventory);
     }
     else if (const auto* queue = std::get_if<load_queue_message>(&message))
         apply_load_queue(context_.fleet, *queue, now);
@@ -281,19 +281,32 @@
     ++statistics_.dispatches;
 }
 
+void gateway::dispatch_waiting_for(const inventory_message& inventory)
+{
+    const instant began = boot_clock::now();
+    std::set<adapter_id> adapters;
+    for (const reported_adapter& reported : inventory.adapters)
+        adapters.insert(reported.adapter.adapter);
+    flow_.dispatch_waiting_for(adapters);
+    statistics_.dispatch_time += boot_clock::now() - began;
+    ++statistics_.dispatches;
+}
+
 void gateway::broadcast(const fleet_message& message)
 {
     const std::string bytes = encode(message);
+    std::size_t bytes_sent = 0;
     for (const auto& [id, member] : context_.fleet.members)
     {
         if (id == context_.settings.id || member.peer_address.empty() ||
             !(member.leased || context_.loop.now() - member.last_message_at < seconds(5)))
             continue;
         context_.loop.send_datagram(member.peer_address, bytes);
-        context_.metrics.add("pollenhaven_peer_bytes_sent_total",
-                             static_cast<double>(bytes.size()));
         count_message(statistics_.sent, message, bytes.size());
+        bytes_sent += bytes.size();
     }
+    context_.metrics.add("pollenhaven_peer_bytes_sent_total",
+                         static_cast<double>(bytes_sent));
 }
 
 void gateway::request_load(const load_request_message& request)
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -23,10 +23,22 @@
 } // namespace
 
 void request_flow::dispatch_waiting()
+{
+    dispatch_selected([](const http_exchange&) { return true; });
+}
+
+void request_flow::dispatch_waiting_for(const std::set<adapter_id>& adapters)
+{
+    dispatch_selected([&](const http_exchange& exchange)
+                      { return adapters.contains(exchange.request.adapter); });
+}
+
+void request_flow::dispatch_selected(
+    const std::function<bool(const http_exchange&)>& is_selected)
 {
     std::vector<const http_exchange*> waiting;
     for (const auto& [id, exchange] : exchanges_)
-        if (is_waiting(exchange))
+        if (is_waiting(exchange) && is_selected(exchange))
             waiting.push_back(&exchange);
     std::sort(waiting.begin(), waiting.end(),
               [](const http_exchange* left, const http_exchange* right)
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -39,6 +39,8 @@
     void on_caller_disconnected(stream_id caller);
     // Looks for an endpoint for each waiting request, the most urgent first.
     void dispatch_waiting();
+    // Does so for the requests that wait for one of these adapters.
+    void dispatch_waiting_for(const std::set<adapter_id>& adapters);
     std::size_t requests_in_flight() const { return exchanges_.size(); }
     // Sets the function that is called when the load of an endpoint changes: a request
     // was sent, its prefill was completed or it ended. After one call the function isn't
@@ -67,6 +69,8 @@
     // Sends a waiting request to an endpoint if one can run it now. Requests a load of
     // its adapter if one is needed, and ends the request if it can't be run in time.
     void try_dispatch(exchange_id id);
+    // Dispatches the waiting requests that `is_selected` selects, the most urgent first.
+    void dispatch_selected(const std::function<bool(const http_exchange&)>& is_selected);
     dispatch_query dispatch_query_for(http_exchange& exchange);
     // Asks an engine's holder to load the request's adapter. `replica` is true if other
     // engines hold it already and this load only offloads them.
