Send loads at plain services to the peers at once, also among many daemons

Cause: three endpoints of six places serve 187 calls of 60 ms a second. A place that a peer has freed counted as taken for up to 48 ms more, so the service looked full at under two thirds of its load.

The bound on messages is checked for engines.

Failed before: the_load_messages_that_a_daemon_receives_have_a_bound, last check (48 ms).

--- a/bench/product_daemons.cpp
+++ b/bench/product_daemons.cpp
@@ -393,7 +393,7 @@
 
 void product_daemons::broadcast_endpoint_load()
 {
-    emulated_.schedule_after(endpoint_load_interval(profile_.daemons),
+    emulated_.schedule_after(endpoint_load_interval(profile_.daemons, true),
                              [this] { broadcast_endpoint_load(); });
     for (int daemon = 0; daemon < profile_.daemons; ++daemon)
     {
--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -226,8 +226,10 @@
     return std::max(1, live);
 }
 
-milliseconds endpoint_load_interval(int members)
+milliseconds endpoint_load_interval(int members, bool at_engine)
 {
+    if (!at_engine)
+        return min_endpoint_load_interval;
     return std::max(min_endpoint_load_interval,
                     std::chrono::duration_cast<milliseconds>(
                         members * endpoint_load_time_per_member));
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -212,10 +212,11 @@
 // Returns the number of daemons with a lease in the store, including this one.
 int live_member_count(const fleet_view& fleet);
 
-// Returns for how long a daemon collects changes of its endpoint load before it sends
-// them to its peers. Every daemon receives those of all others, so the time grows with
-// their number.
-milliseconds endpoint_load_interval(int members);
+// Returns for how long a daemon collects changes of its load at endpoints of one kind
+// before it sends them to its peers. For engines the time grows with the number of
+// daemons, since every daemon receives the changes of all others. A plain service has few
+// places, which are taken for a short time; its changes are sent at once.
+milliseconds endpoint_load_interval(int members, bool at_engine);
 
 // Returns the addresses of the daemons that callers may use, including this one if it is
 // ready.
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -181,10 +181,10 @@
         store_sync_.add_watch(*watch);
     store_sync_.add_watch(membership_.watch());
     flow_.on_endpoint_load_changed(
-        [this]
+        [this](bool at_engine)
         {
             context_.loop.schedule_after(
-                endpoint_load_interval(live_member_count(context_.fleet)),
+                endpoint_load_interval(live_member_count(context_.fleet), at_engine),
                 [this] { broadcast_endpoint_load(); });
         });
     context_.incarnation = {random_hex(incarnation_bytes)};
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -196,7 +196,7 @@
     view.in_flight_by_adapter[exchange.request.adapter] += 1;
     started_requests_[endpoint][exchange.request.adapter] += 1;
     guard_.on_sent(exchange);
-    record_endpoint_change(endpoint);
+    record_endpoint_change(exchange);
     exchange.timer = context_.loop.schedule_after(connect_timeout, [this, id]
                                                   { check_response_started(id); });
     log_event(exchange, "sent", "");
@@ -211,15 +211,16 @@
         view.pending_prefill_tokens =
             std::max(0, view.pending_prefill_tokens - exchange.request.prompt_tokens);
     exchange.prefill_pending = false;
-    record_endpoint_change(view.record.id);
+    record_endpoint_change(exchange);
 }
 
-void request_flow::record_endpoint_change(const endpoint_id& endpoint)
+void request_flow::record_endpoint_change(const http_exchange& exchange)
 {
-    const bool is_first = changed_endpoints_.empty();
-    changed_endpoints_.insert(endpoint);
-    if (is_first)
-        endpoint_load_changed_();
+    const bool at_engine = !exchange.request.model.empty();
+    bool& is_reported = at_engine ? engine_change_reported_ : plain_change_reported_;
+    changed_endpoints_.insert(exchange.endpoint);
+    if (!std::exchange(is_reported, true))
+        endpoint_load_changed_(at_engine);
 }
 
 void request_flow::release_endpoint(http_exchange& exchange)
@@ -250,6 +251,8 @@
 
 std::set<endpoint_id> request_flow::take_changed_endpoints()
 {
+    engine_change_reported_ = false;
+    plain_change_reported_ = false;
     return std::exchange(changed_endpoints_, {});
 }
 
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -43,9 +43,10 @@
     void dispatch_waiting_for(const std::set<adapter_id>& adapters);
     std::size_t requests_in_flight() const { return exchanges_.size(); }
     // Sets the function that is called when the load of an endpoint changes: a request
-    // was sent, its prefill was completed or it ended. After one call the function isn't
-    // called again until take_changed_endpoints() has been called.
-    void on_endpoint_load_changed(std::function<void()> call)
+    // was sent, its prefill was completed or it ended. `at_engine` tells engines from
+    // endpoints of plain services. After one call for either kind the function isn't
+    // called again for it until take_changed_endpoints() has been called.
+    void on_endpoint_load_changed(std::function<void(bool at_engine)> call)
     {
         endpoint_load_changed_ = std::move(call);
     }
@@ -80,7 +81,7 @@
     void send_to_endpoint(http_exchange& exchange, const endpoint_id& endpoint);
     // Removes the request's prompt from the endpoint's pending prefill tokens.
     void record_prefill_done(http_exchange& exchange, endpoint_view& view);
-    void record_endpoint_change(const endpoint_id& endpoint);
+    void record_endpoint_change(const http_exchange& exchange);
     // Removes the attempt from the endpoint's load and from the running suspects.
     void release_endpoint(http_exchange& exchange);
     // Ends the attempt and resets its connection.
@@ -161,7 +162,9 @@
     std::map<service_id, retry_window> attempts_;
     std::map<endpoint_id, std::map<adapter_id, int>> started_requests_;
     std::set<endpoint_id> changed_endpoints_;
-    std::function<void()> endpoint_load_changed_ = [] {};
+    bool engine_change_reported_ = false;
+    bool plain_change_reported_ = false;
+    std::function<void(bool)> endpoint_load_changed_ = [](bool) {};
 };
 
 } // namespace pollenhaven
