Report endpoint loads in every second heartbeat on a fleet of 61 daemons, every third on one of 81

Cause: each heartbeat had the sender's loads at all engines by adapter, though changes of the counts are sent when they happen. Class: whole state sent to everybody, as the crash announcements.

Why this works: heartbeats keep their interval, on which the confirmation of store outages rests; one in as many as there are 32 daemons, at least one a second, has the loads, and one without says nothing about them. The time for which a used adapter isn't evicted grows with it (400 ms on eight daemons, as before). A daemon of an earlier release reads a heartbeat without loads as one with none, until the next.

Test: a_heartbeat_without_loads_leaves_them_as_they_are.

--- a/bench/product_daemons.cpp
+++ b/bench/product_daemons.cpp
@@ -16,7 +16,6 @@
 // The same intervals as in the gateway.
 constexpr milliseconds load_request_interval{120};
 constexpr milliseconds replica_request_interval{500};
-constexpr milliseconds heartbeat_interval{200};
 constexpr milliseconds periodic_work_interval{15};
 constexpr milliseconds queue_broadcast_delay{40};
 // Network latency between availability zones, of datagrams and of calls.
--- a/policy/fleet/engine_orders.cpp
+++ b/policy/fleet/engine_orders.cpp
@@ -12,9 +12,6 @@
 // A pending load that was not requested again for this long expires: another engine
 // serves the adapter, or the requests that waited for it have ended.
 constexpr milliseconds pending_load_lifetime{300};
-// Daemons report their use of adapters five times a second. An adapter that was used
-// within this time may be in use by a daemon that has not reported it yet.
-constexpr milliseconds recent_use_window{400};
 // Value of a response that misses the target latency relative to one within it, from the
 // partners' deployment profiles.
 constexpr double late_response_value = 0.3;
@@ -109,7 +106,8 @@
 // Returns the least used of the adapters that are not in use; the end iterator if there
 // is none.
 std::map<adapter_id, adapter_slot>::iterator
-find_eviction_candidate(engine_state& engine, const adapter_usage& usage, instant now)
+find_eviction_candidate(engine_state& engine, const adapter_usage& usage,
+                        const engine_timing& timing, instant now)
 {
     auto candidate = engine.slots.end();
     double lowest = 0;
@@ -117,7 +115,7 @@
     {
         const adapter_slot& slot = at->second;
         if (slot.state != slot_state::resident || usage(at->first) > 0 ||
-            now - std::max(slot.last_used, slot.changed_at) < recent_use_window)
+            now - std::max(slot.last_used, slot.changed_at) < timing.recent_use_window)
             continue;
         const double decayed_requests = decayed_requests_at(slot, now);
         if (candidate == engine.slots.end() || decayed_requests < lowest)
@@ -188,7 +186,7 @@
     const bool replaces_version = current != engine.slots.end();
     if (replaces_version || static_cast<int>(engine.slots.size()) < engine.slot_count)
         return order_load(engine, adapter, pending->second);
-    const auto candidate = find_eviction_candidate(engine, usage, now);
+    const auto candidate = find_eviction_candidate(engine, usage, timing, now);
     if (candidate == engine.slots.end() ||
         (pending->second.replica && decayed_requests_at(candidate->second, now) > 1))
         return {};
--- a/policy/fleet/engine_orders.hpp
+++ b/policy/fleet/engine_orders.hpp
@@ -89,6 +89,9 @@
     int burst_store_loads = 2;
     // Limit on concurrent loads of any kind at one engine.
     int loads_at_once = 4;
+    // Daemons report their use of adapters from time to time. An adapter that was used
+    // within this time may be in use by a daemon that has not reported it yet.
+    milliseconds recent_use_window{400};
 };
 
 // The holder's state of one of its engines. Each order contains the number of orders that
--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -36,6 +36,9 @@
 // The prefill of one prompt takes much longer.
 constexpr milliseconds min_endpoint_load_interval{5};
 constexpr microseconds endpoint_load_time_per_member{600};
+constexpr int members_per_load_report = 32;
+// Loads are reported at least once a second, so that none expires.
+constexpr int max_heartbeats_per_load_report = 5;
 // The platform's limit on addresses in one directory response.
 constexpr std::size_t max_directory_addresses = 64;
 
@@ -235,6 +238,12 @@
                         members * endpoint_load_time_per_member));
 }
 
+int heartbeats_per_load_report(int members)
+{
+    return std::clamp((members + members_per_load_report - 1) / members_per_load_report,
+                      1, max_heartbeats_per_load_report);
+}
+
 std::vector<network_address> caller_addresses(const fleet_view& fleet, instant now)
 {
     std::vector<network_address> addresses;
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -218,6 +218,10 @@
 // places, which are taken for a short time; its changes are sent at once.
 milliseconds endpoint_load_interval(int members, bool at_engine);
 
+// Returns the number of heartbeats of which one contains the sender's endpoint loads. A
+// heartbeat with loads is several times as long as one without.
+int heartbeats_per_load_report(int members);
+
 // Returns the addresses of the daemons that callers may use, including this one if it is
 // ready.
 std::vector<network_address> caller_addresses(const fleet_view& fleet, instant now);
--- a/servers/gateway/engine_controller.cpp
+++ b/servers/gateway/engine_controller.cpp
@@ -299,6 +299,10 @@
 {
     engine_timing timing = context_.settings.load_timing;
     timing.load_times = context_.fleet.load_times;
+    const int reported_every =
+        heartbeats_per_load_report(live_member_count(context_.fleet));
+    timing.recent_use_window =
+        std::max(timing.recent_use_window, 2 * reported_every * heartbeat_interval);
     return timing;
 }
 
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -83,17 +83,20 @@
 
 json encode_body(const heartbeat_message& message)
 {
-    return {{"kind", "beat"},
-            {"from", message.sender.value},
-            {"start", message.incarnation.value},
-            {"ready", message.ready},
-            {"leaving", message.leaving},
-            {"silence", message.store_silence.count()},
-            {"use", encode_endpoint_loads(message.endpoint_loads)},
-            {"loads", encode_observations(message.load_observations)},
-            {"store",
-             {message.load_times.is_learned, message.load_times.full_speed_ms,
-              message.load_times.loads_at_full_speed}}};
+    json body{{"kind", "beat"},
+              {"from", message.sender.value},
+              {"start", message.incarnation.value},
+              {"ready", message.ready},
+              {"leaving", message.leaving},
+              {"silence", message.store_silence.count()},
+              {"use", encode_endpoint_loads(message.endpoint_loads)},
+              {"loads", encode_observations(message.load_observations)},
+              {"store",
+               {message.load_times.is_learned, message.load_times.full_speed_ms,
+                message.load_times.loads_at_full_speed}}};
+    if (!message.has_endpoint_loads)
+        body["partial"] = true;
+    return body;
 }
 
 json encode_body(const inventory_message& message)
@@ -183,6 +186,7 @@
     message.leaving = body.at("leaving").get<bool>();
     message.store_silence = milliseconds(body.at("silence").get<long long>());
     message.endpoint_loads = decode_endpoint_loads(body.at("use"));
+    message.has_endpoint_loads = !body.contains("partial");
     // Daemons of an earlier release don't send observations.
     if (body.contains("loads"))
         message.load_observations = decode_observations(body.at("loads"));
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -26,6 +26,10 @@
     std::map<adapter_id, int> started_by_adapter;
 };
 
+// Interval of the heartbeats, which carry liveness and endpoint load. The data of peers
+// that routing decisions use can be this old.
+constexpr milliseconds heartbeat_interval{200};
+
 // The periodic status message of a daemon.
 struct heartbeat_message
 {
@@ -35,7 +39,9 @@
     bool leaving = false;
     // Time since the store last responded to the sender.
     milliseconds store_silence{0};
-    // The sender's load, by endpoint. Endpoints without load are left out.
+    // The sender's load, by endpoint. Endpoints without load are left out. Some
+    // heartbeats contain no loads, and say nothing about them.
+    bool has_endpoint_loads = true;
     std::map<endpoint_id, endpoint_load> endpoint_loads;
     // What the sender has observed of loads since its last heartbeat.
     std::vector<load_observation> load_observations;
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -262,6 +262,8 @@
     adopt_load_times(fleet.load_times, message.load_times);
     for (const load_observation& observed : message.load_observations)
         observe_load(fleet.load_times, observed);
+    if (!message.has_endpoint_loads)
+        return;
     for (const endpoint_id& endpoint : std::exchange(member.loaded_endpoints, {}))
     {
         const auto found = fleet.endpoints.find(endpoint);
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -25,9 +25,6 @@
 namespace
 {
 
-// Interval of the heartbeats, which carry liveness and endpoint load. The data of peers
-// that routing decisions use can be this old.
-constexpr milliseconds heartbeat_interval{200};
 // Interval at which claims, due orders and waiting requests are checked.
 constexpr milliseconds work_interval{15};
 constexpr milliseconds housekeeping_interval{250};
@@ -91,6 +88,8 @@
     void broadcast(const fleet_message& message);
     void request_load(const load_request_message& request);
     void send_heartbeat();
+    // Adds the loads of this daemon, and counts them as reported.
+    void add_endpoint_loads(heartbeat_message& message);
     void broadcast_endpoint_load();
     void send_periodic_heartbeat();
     void update_own_member_view();
@@ -119,6 +118,7 @@
     fleet_watcher watcher_;
     store_sync store_sync_;
     gateway_statistics statistics_;
+    int heartbeats_sent_ = 0;
     instant shutdown_began_{};
     bool stopped_listening_ = false;
     std::filesystem::file_time_type settings_modified_at_{};
@@ -338,6 +338,17 @@
     message.store_silence = store_silence(context_);
     message.load_observations = take_load_observations(context_);
     message.load_times = context_.fleet.load_times;
+    message.has_endpoint_loads =
+        heartbeats_sent_++ %
+            heartbeats_per_load_report(live_member_count(context_.fleet)) ==
+        0;
+    if (message.has_endpoint_loads)
+        add_endpoint_loads(message);
+    broadcast(message);
+}
+
+void gateway::add_endpoint_loads(heartbeat_message& message)
+{
     for (const auto& [endpoint, counts] : flow_.take_started_requests())
         message.endpoint_loads[endpoint].started_by_adapter = counts;
     for (const auto& [endpoint, view] : context_.fleet.endpoints)
@@ -350,7 +361,6 @@
         load.in_flight_by_adapter = view.in_flight_by_adapter;
         engine_controller_.record_adapter_usage(endpoint, load);
     }
-    broadcast(message);
 }
 
 // The load is also sent between heartbeats, so that peers that select an engine now take
--- a/tests/contract/peer_load_test.cpp
+++ b/tests/contract/peer_load_test.cpp
@@ -49,6 +49,24 @@
     BOOST_TEST(in_flight(other_engine) == 0);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_heartbeat_without_loads_leaves_them_as_they_are,
+                        peer_load_fixture)
+{
+    apply_endpoint_load(fleet, {peer, {{engine, {3, 0}}}}, now);
+    heartbeat_message heartbeat;
+    heartbeat.sender = peer;
+    heartbeat.ready = true;
+    heartbeat.has_endpoint_loads = false;
+    apply_heartbeat(fleet, std::get<heartbeat_message>(decode(encode(heartbeat))), now);
+    BOOST_TEST(in_flight(engine) == 3);
+    BOOST_TEST(fleet.members.at(peer).ready);
+    // Loads must be reported before they expire at the peers, after 1.5 s.
+    for (const int members : {1, 8, 61, 81, 360})
+        BOOST_TEST(
+            (heartbeats_per_load_report(members) * heartbeat_interval <= seconds(1)));
+    BOOST_TEST(heartbeats_per_load_report(8) == 1);
+}
+
 // Guards against a processor that is full of peer messages: each daemon receives those of
 // all others, whose number is the square of the number of daemons.
 BOOST_AUTO_TEST_CASE(the_load_messages_that_a_daemon_receives_have_a_bound)
