Queue a few requests at a plain service beyond its places

Cause: a request was sent to a plain service only while a place was known to be free.

Why this works: one request for two places waits at the endpoint, which has a queue and starts it at once. Engines keep their bound, since there all requests of a batch slow each other down.

Failed before: a_plain_service_gets_a_few_more_requests_than_it_has_places.

--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -34,6 +34,8 @@
 constexpr int max_pending_prefill_tokens = 4096;
 // Longer prompts count as having this length, so that shorter ones cannot starve them.
 constexpr int max_counted_prompt_tokens = 3072;
+// One request may be queued at a plain service for this many of its places.
+constexpr int plain_slots_per_queued_request = 2;
 // The time that each request in an engine's batch adds to a step.
 constexpr double batch_cost_ms = 1;
 // An adapter needs a replica on another engine when every engine that has it carries more
@@ -136,9 +138,15 @@
            now - resident.ready_at > assumed_loaded_after;
 }
 
-bool has_free_slot(const endpoint_view& endpoint, instant now)
+// Returns true if the endpoint can take the request without a long wait. A plain service
+// may have some requests queued: a place that becomes free is known here only after some
+// ten milliseconds, in which it would stay empty.
+bool has_free_slot(const endpoint_view& endpoint, const dispatch_query& query,
+                   instant now)
 {
-    return total_in_flight(endpoint, now) < endpoint.record.slots;
+    const int slots = endpoint.record.slots;
+    const int queued = query.model.empty() ? slots / plain_slots_per_queued_request : 0;
+    return total_in_flight(endpoint, now) < slots + queued;
 }
 
 // Returns true if the engine can process the prompt without delaying the streams that it
@@ -221,7 +229,7 @@
         if (resident != nullptr)
             count_supply(supply, fleet, endpoint, *resident, query, busy_threshold, now);
         if ((resident != nullptr && !is_ready(endpoint, *resident, query.adapter, now)) ||
-            !has_free_slot(endpoint, now))
+            !has_free_slot(endpoint, query, now))
             continue;
         if (!has_prefill_capacity(endpoint, query, now))
             continue;
--- a/tests/policy/fleet_dispatch_test.cpp
+++ b/tests/policy/fleet_dispatch_test.cpp
@@ -295,6 +295,28 @@
     BOOST_TEST((view.backoff_until - now == first));
 }
 
+// Guards against a plain service whose places stay empty until all daemons know that they
+// are free, while requests wait for them.
+BOOST_FIXTURE_TEST_CASE(a_plain_service_gets_a_few_more_requests_than_it_has_places,
+                        fleet_fixture)
+{
+    endpoint_view& view = add_engine("plain");
+    view.record.inventory.models.clear();
+    view.record.slots = 6;
+    dispatch_query plain;
+    plain.service = service;
+    view.in_flight = 6;
+    BOOST_TEST(choose_endpoint(fleet, plain, now).endpoint.has_value());
+    view.in_flight = 9;
+    BOOST_TEST(!choose_endpoint(fleet, plain, now).endpoint.has_value());
+    // An engine's places are those of its batch; more requests would delay each other.
+    endpoint_view& engine = add_engine("engine");
+    set_resident(engine, now);
+    engine.record.slots = 6;
+    engine.in_flight = 6;
+    BOOST_TEST(!choose_endpoint(fleet, query(), now).endpoint.has_value());
+}
+
 // Guards against requests that all wait for the connection time-out of the same dead
 // engine, once its back-off has passed.
 BOOST_FIXTURE_TEST_CASE(an_unreachable_endpoint_is_tried_by_one_request_at_a_time,
