Resume a silent stream on a new connection, and end one whose last attempt is silent

Cause: connections go silent together. The resumed request was written to an idle pooled connection that was silent too, and as the last attempt allowed it was waited for until the deadline. Class: what one silent connection says about the others was not used.

Why this works: a request that already failed somewhere opens a connection; the idle ones to an endpoint that went silent are closed; a resumed stream without an answer, or a last attempt without bytes, ends after 5 s, later than callers wait.

Failed before: a_silent_stream_is_resumed_on_a_connection_that_was_not_open_before and a_stream_whose_last_attempt_goes_silent_ends_in_bounded_time (8 s).

--- a/servers/gateway/connection_pool.cpp
+++ b/servers/gateway/connection_pool.cpp
@@ -37,6 +37,12 @@
         loop_.set_handlers(last.stream, std::move(handlers));
         return last.stream;
     }
+    return open_connection(endpoint, std::move(handlers));
+}
+
+stream_id connection_pool::open_connection(const endpoint_record& endpoint,
+                                           stream_handlers handlers)
+{
     return loop_.connect(endpoint.address, std::move(handlers));
 }
 
--- a/servers/gateway/connection_pool.hpp
+++ b/servers/gateway/connection_pool.hpp
@@ -21,12 +21,15 @@
     // the handlers set.
     stream_id acquire_connection(const endpoint_record& endpoint,
                                  stream_handlers handlers);
+    // Returns a new connection to the endpoint with the handlers set.
+    stream_id open_connection(const endpoint_record& endpoint, stream_handlers handlers);
     // Returns a connection to the pool. Its last response must be complete, and no bytes
     // may have arrived after it. `idle_timeout` is how long the endpoint keeps an idle
     // connection open, if it announced that.
     void release_connection(const endpoint_id& endpoint, stream_id stream,
                             std::optional<milliseconds> idle_timeout);
-    // Closes all idle connections to an endpoint that drains or was removed.
+    // Closes all idle connections to an endpoint: it drains or was removed, or one of its
+    // connections went silent, and others may have with it.
     void remove_endpoint(const endpoint_id& endpoint);
 
 private:
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -184,7 +184,11 @@
     handlers.readable = [this, id](stream_id) { on_upstream_readable(id); };
     handlers.ended = [this, id](stream_id, stream_end end)
     { on_upstream_ended(id, end); };
-    exchange.upstream = pool_.acquire_connection(view.record, std::move(handlers));
+    // Connections often go silent together, so a request that already failed somewhere
+    // isn't sent on one that was open before.
+    exchange.upstream = exchange.possible_runs > 0
+                            ? pool_.open_connection(view.record, std::move(handlers))
+                            : pool_.acquire_connection(view.record, std::move(handlers));
     context_.loop.send(exchange.upstream,
                        context_.dialect.write_forwarded_request(
                            exchange.head, exchange.body.size(), fields) +
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -38,6 +38,10 @@
 // it. The caller's progress is checked at this interval.
 constexpr std::size_t max_unread_stream_bytes = 256UL << 10U;
 constexpr milliseconds caller_progress_interval{20};
+constexpr milliseconds stall_check_interval{200};
+// A stream that can't be resumed any more ends after this time without new bytes. Callers
+// give up earlier.
+constexpr milliseconds max_stream_silence{5000};
 // A request that may be retried is sent to another endpoint if the response to its first
 // attempt hasn't begun after this multiple of its target latency.
 constexpr int response_start_factor = 4;
@@ -68,8 +72,11 @@
         return;
     if (!context_.loop.has_written(exchange.upstream))
         return on_attempt_failed(exchange, "no connection", false);
+    // A stream that is being resumed has no other attempt left that could be waited for.
+    const bool is_resumed = exchange.phase == exchange_phase::responding;
     const milliseconds start_limit =
-        exchange.matched_route->target_latency * response_start_factor;
+        is_resumed ? max_stream_silence
+                   : exchange.matched_route->target_latency * response_start_factor;
     const auto age = context_.loop.now() - exchange.sent_at;
     if (age < start_limit)
     {
@@ -77,11 +84,16 @@
                                                 { check_response_started(id); });
         return;
     }
+    if (is_resumed)
+        return on_attempt_failed(exchange, "the stream went silent", true);
     const bool is_first_attempt = exchange.possible_runs == 0 && exchange.sends == 1;
     if (is_first_attempt &&
         exchange.possible_runs + 1 < exchange.matched_route->max_attempts &&
         may_retry(exchange))
+    {
+        pool_.remove_endpoint(exchange.endpoint);
         on_attempt_failed(exchange, "no answer began in time", true);
+    }
 }
 
 void request_flow::on_upstream_ended(exchange_id id, stream_end end)
@@ -278,7 +290,9 @@
     if (!exchange.matched_route->resumable || exchange.timer.value != 0)
         return;
     const exchange_id id = exchange.id;
-    exchange.timer = context_.loop.schedule(exchange.last_chunk_at + stream_stall_timeout,
+    const instant due = exchange.last_chunk_at + stream_stall_timeout;
+    const instant next_check = context_.loop.now() + stall_check_interval;
+    exchange.timer = context_.loop.schedule(std::max(due, next_check),
                                             [this, id] { check_stall(id); });
 }
 
@@ -289,12 +303,15 @@
     // While the caller is behind, the endpoint has to wait.
     if (exchange.is_paused)
         exchange.last_chunk_at = context_.loop.now();
-    const bool is_stalled =
-        context_.loop.now() - exchange.last_chunk_at >= stream_stall_timeout;
-    if (is_stalled && may_retry(exchange))
-        return on_attempt_failed(exchange, "the stream went silent", true);
-    if (!is_stalled)
-        schedule_stall_check(exchange);
+    const auto silence = context_.loop.now() - exchange.last_chunk_at;
+    const bool can_resume =
+        may_retry(exchange) &&
+        exchange.possible_runs + 1 < exchange.matched_route->max_attempts;
+    const milliseconds limit = can_resume ? stream_stall_timeout : max_stream_silence;
+    if (silence < limit)
+        return schedule_stall_check(exchange);
+    pool_.remove_endpoint(exchange.endpoint);
+    on_attempt_failed(exchange, "the stream went silent", true);
 }
 
 void request_flow::relay_complete_response(http_exchange& exchange)
--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -9,6 +9,7 @@
 #include <sys/socket.h>
 
 #include <functional>
+#include <set>
 
 using namespace pollenhaven;
 
@@ -52,6 +53,9 @@
     std::vector<std::string> requests;
     int connections = 0;
     int closed_by_daemon = 0;
+    // Connections on which nothing is answered any more.
+    std::set<std::uint64_t> silent;
+    std::vector<stream_id> accepted;
     // Bytes of `endpoint_script::repeated` that were passed on for sending.
     std::size_t repeated_bytes = 0;
 
@@ -63,14 +67,24 @@
     void accept(stream_id id)
     {
         ++connections;
+        accepted.push_back(id);
         stream_handlers handlers;
         handlers.readable = [this](stream_id from) { on_bytes(from); };
         handlers.ended = [this](stream_id, stream_end) { ++closed_by_daemon; };
         loop.set_handlers(id, std::move(handlers));
     }
 
+    // The open connections go silent for good, as some do on the way; new ones work.
+    void silence_open_connections()
+    {
+        for (const stream_id id : accepted)
+            silent.insert(id.value);
+    }
+
     void on_bytes(stream_id from)
     {
+        if (silent.contains(from.value))
+            return;
         std::string& input = loop.input(from);
         if (input.find("\r\n\r\n") == std::string::npos)
             return;
@@ -670,4 +684,56 @@
     BOOST_TEST(test.first.closed_by_daemon >= 1);
 }
 
+// Guards against a stream that hangs until its caller gives up: connections go silent
+// together, the one that carries it and the idle one at the engine that could resume it.
+BOOST_AUTO_TEST_CASE(a_silent_stream_is_resumed_on_a_connection_that_was_not_open_before)
+{
+    flow_fixture test;
+    test.add_endpoints("assistant");
+    routing_table table = *test.context.routing;
+    for (route& changed : table.routes)
+        changed.timeout = milliseconds(4000);
+    test.context.routing = std::make_shared<const routing_table>(table);
+    // Leaves an idle connection to the second endpoint.
+    const std::string kept_head =
+        replaced(stream_head, "Transfer-", "Keep-Alive: timeout=10\r\nTransfer-");
+    test.second.scripts = {{kept_head + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"},
+                           {stream_head + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"}};
+    test.context.fleet.endpoints.at({"i-1"}).draining = true;
+    BOOST_TEST(contains(test.send_request("/again/1"), "data: a"));
+    test.context.fleet.endpoints.at({"i-1"}).draining = false;
+    test.second.silence_open_connections();
+    // The first endpoint sends one event and nothing more.
+    test.first.scripts = {{stream_head + chunk("id: 1\ndata: a\n\n")}};
+    const std::string response = test.send_request("/again/1");
+    BOOST_TEST(test.first.requests.size() == 1U);
+    BOOST_TEST(contains(response, "data: a"));
+    BOOST_TEST(contains(response, "data: b"));
+    BOOST_TEST(response.ends_with("0\r\n\r\n"));
+}
+
+// Guards against a stream that hangs although nothing can resume it any more: its last
+// attempt went silent too.
+BOOST_AUTO_TEST_CASE(a_stream_whose_last_attempt_goes_silent_ends_in_bounded_time)
+{
+    flow_fixture test;
+    test.add_endpoints("assistant");
+    routing_table table = *test.context.routing;
+    for (route& changed : table.routes)
+        changed.timeout = milliseconds(20'000);
+    test.context.routing = std::make_shared<const routing_table>(table);
+    test.first.scripts = {{stream_head + chunk("id: 1\ndata: a\n\n")}};
+    // The second endpoint says nothing at all.
+    test.second.scripts = {{""}};
+    const stream_id caller = test.connect();
+    test.context.loop.send(caller, "POST /again/1 HTTP/1.1\r\nHost: h\r\n"
+                                   "X-Pollenhaven-Request-Id: id-1\r\n"
+                                   "Content-Length: 0\r\n\r\n");
+    test.run_until([&] { return test.ended; }, seconds(8));
+    BOOST_TEST(test.ended);
+    BOOST_TEST(test.second.requests.size() == 1U);
+    BOOST_TEST(contains(test.received, "data: a"));
+    BOOST_TEST(!test.received.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
