--- a/tests/contract/crash_guard_test.cpp
+++ b/tests/contract/crash_guard_test.cpp
@@ -41,7 +41,7 @@
     }
 
     // Cuts off a request at the engine, with content of its own.
-    void cut_off_request(const endpoint_id& engine, int number)
+    void cut_off_request(const endpoint_id& engine, std::size_t number)
     {
         http_exchange exchange;
         exchange.endpoint = engine;
@@ -68,20 +68,20 @@
 {
     // The target for the control traffic of a daemon, in bytes a second.
     constexpr std::size_t max_bytes_per_second = 10'000;
-    constexpr int engines = 14;
-    constexpr int requests = 3;
+    constexpr std::size_t engines = 14;
+    constexpr std::size_t requests = 3;
     constexpr seconds duration{2};
-    for (int engine = 0; engine < engines; ++engine)
+    for (std::size_t engine = 0; engine < engines; ++engine)
     {
         const endpoint_id id{"i-" + std::to_string(engine)};
-        for (int request = 0; request < requests; ++request)
+        for (std::size_t request = 0; request < requests; ++request)
             cut_off_request(id, request);
         guard.on_endpoint_lost(id);
     }
     run_for(duration);
     BOOST_TEST(bytes_sent <= max_bytes_per_second * duration.count());
     // Datagrams can be lost, so every suspect is told three times.
-    BOOST_TEST(times_told.size() == std::size_t{engines * requests});
+    BOOST_TEST(times_told.size() == engines * requests);
     for (const auto& [fingerprint, times] : times_told)
         BOOST_TEST(times >= 3, fingerprint);
 }
