--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-// A peer's load is ignored if it was reported longer ago than this. Peers report it five
-// times a second.
+// A peer's load is ignored if it was reported longer ago than this. Peers report it at
+// least once a second.
 constexpr milliseconds peer_load_lifetime{1500};
 // A peer is not listed for callers if no heartbeat from it arrived for this long, which
 // means that seven were lost.
--- a/servers/gateway/crash_guard.cpp
+++ b/servers/gateway/crash_guard.cpp
@@ -146,7 +146,12 @@
 {
     new_announcements_scheduled_ = false;
     send_announcements(broadcast_count, broadcast_count);
-    if (repetition_scheduled_)
+    schedule_repetition();
+}
+
+void crash_guard::schedule_repetition()
+{
+    if (repetition_scheduled_ || announcements_.empty())
         return;
     repetition_scheduled_ = true;
     context_.loop.schedule_after(broadcast_interval, [this] { repeat_announcements(); });
@@ -156,10 +161,7 @@
 {
     repetition_scheduled_ = false;
     send_announcements(1, broadcast_count - 1);
-    if (announcements_.empty())
-        return;
-    repetition_scheduled_ = true;
-    context_.loop.schedule_after(broadcast_interval, [this] { repeat_announcements(); });
+    schedule_repetition();
 }
 
 void crash_guard::send_announcements(int min_sends_left, int max_sends_left)
--- a/servers/gateway/crash_guard.hpp
+++ b/servers/gateway/crash_guard.hpp
@@ -58,8 +58,8 @@
     void send_new_announcements();
     // Sends those again that were not sent often enough yet.
     void repeat_announcements();
-    // Broadcasts the announcements of which the given number of sends, or fewer, are
-    // left.
+    void schedule_repetition();
+    // Broadcasts the announcements of which this many sends are left.
     void send_announcements(int min_sends_left, int max_sends_left);
 
     gateway_context& context_;
