--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -34,7 +34,7 @@
 constexpr int max_pending_prefill_tokens = 4096;
 // Longer prompts count as having this length, so that shorter ones cannot starve them.
 constexpr int max_counted_prompt_tokens = 3072;
-// One request may be queued at a plain service for this many of its places.
+// One request may be queued at a plain service for this many of its slots.
 constexpr int plain_slots_per_queued_request = 2;
 // The time that each request in an engine's batch adds to a step.
 constexpr double batch_cost_ms = 1;
@@ -139,7 +139,7 @@
 }
 
 // Returns true if the endpoint can take the request without a long wait. A plain service
-// may have some requests queued: a place that becomes free is known here only after some
+// may have some requests queued: a slot that becomes free is known here only after some
 // ten milliseconds, in which it would stay empty.
 bool has_free_slot(const endpoint_view& endpoint, const dispatch_query& query,
                    instant now)
@@ -159,7 +159,7 @@
                               max_pending_prefill_tokens;
 }
 
-// The engines that have an adapter, as far as they bear on the need for another one.
+// Counts of the engines that have an adapter, to decide whether it needs a replica.
 struct adapter_supply
 {
     // Engines that load it.
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -215,7 +215,7 @@
 // Returns for how long a daemon collects changes of its load at endpoints of one kind
 // before it sends them to its peers. For engines the time grows with the number of
 // daemons, since every daemon receives the changes of all others. A plain service has few
-// places, which are taken for a short time; its changes are sent at once.
+// slots, which are taken for a short time; its changes are sent at once.
 milliseconds endpoint_load_interval(int members, bool at_engine);
 
 // Returns the number of heartbeats of which one contains the sender's endpoint loads. A
--- a/tests/contract/peer_load_test.cpp
+++ b/tests/contract/peer_load_test.cpp
@@ -79,7 +79,7 @@
         BOOST_TEST(members / interval_s <= max_messages_per_second, members);
     }
     BOOST_TEST((endpoint_load_interval(8, true) == milliseconds(5)));
-    // A plain service with three endpoints of six places looks full for as long as its
+    // A plain service with three endpoints of six slots looks full for as long as its
     // peers don't know that a request of 60 ms has ended.
     BOOST_TEST((endpoint_load_interval(81, false) == milliseconds(5)));
 }
--- a/tests/policy/fleet_dispatch_test.cpp
+++ b/tests/policy/fleet_dispatch_test.cpp
@@ -295,9 +295,9 @@
     BOOST_TEST((view.backoff_until - now == first));
 }
 
-// Guards against a plain service whose places stay empty until all daemons know that they
+// Guards against a plain service whose slots stay empty until all daemons know that they
 // are free, while requests wait for them.
-BOOST_FIXTURE_TEST_CASE(a_plain_service_gets_a_few_more_requests_than_it_has_places,
+BOOST_FIXTURE_TEST_CASE(a_plain_service_gets_a_few_more_requests_than_it_has_slots,
                         fleet_fixture)
 {
     endpoint_view& view = add_engine("plain");
@@ -309,7 +309,7 @@
     BOOST_TEST(choose_endpoint(fleet, plain, now).endpoint.has_value());
     view.in_flight = 9;
     BOOST_TEST(!choose_endpoint(fleet, plain, now).endpoint.has_value());
-    // An engine's places are those of its batch; more requests would delay each other.
+    // An engine's slots are those of its batch; more requests would delay each other.
     endpoint_view& engine = add_engine("engine");
     set_resident(engine, now);
     engine.record.slots = 6;
