--- a/policy/fleet/event_stream.cpp
+++ b/policy/fleet/event_stream.cpp
@@ -28,6 +28,24 @@
     return events;
 }
 
+void track_events(event_boundary& boundary, std::string_view bytes)
+{
+    for (const char byte : bytes)
+    {
+        const bool ends_line = byte == '\r' || byte == '\n';
+        const bool is_second_half = byte == '\n' && boundary.after_carriage_return;
+        boundary.after_carriage_return = byte == '\r';
+        if (is_second_half)
+            continue;
+        // An empty line ends the event.
+        if (ends_line && boundary.at_line_start)
+            boundary.unfinished_bytes = 0;
+        else
+            ++boundary.unfinished_bytes;
+        boundary.at_line_start = ends_line;
+    }
+}
+
 std::string find_last_event_id(std::string_view events)
 {
     std::string id;
--- a/servers/gateway/http_exchange.hpp
+++ b/servers/gateway/http_exchange.hpp
@@ -3,6 +3,7 @@
 
 #include "core/interfaces/platform_dialect.hpp"
 #include "policy/call_claim.hpp"
+#include "policy/fleet/event_stream.hpp"
 #include "servers/gateway/event_loop.hpp"
 #include "servers/gateway/http_reader.hpp"
 
@@ -104,6 +105,8 @@
     instant last_chunk_at{};
     // The longest time between two such arrivals.
     milliseconds longest_pause{0};
+    // Where the stream of the current attempt stands between two events.
+    event_boundary boundary;
     // The incomplete event at the end of a resumable stream. Only complete events are
     // passed on.
     std::string partial_event;
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -175,6 +175,7 @@
     exchange.discards_response = false;
     exchange.discarded_responses = 0;
     exchange.is_paused = false;
+    exchange.boundary = {};
     exchange.phase = exchange.phase == exchange_phase::resuming
                          ? exchange_phase::responding
                          : exchange_phase::sent;
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -141,6 +141,9 @@
     void end_with_error_response(http_exchange& exchange, const failure& reason);
     void remove_exchange(http_exchange& exchange);
     void log_refusal(const http_exchange& exchange, const std::string& code);
+    // Logs how a stream ended, if the end of the connection or the middle of an event
+    // leaves doubt that it is complete.
+    void log_stream_end(const http_exchange& exchange);
     // Counts the request's outcome and its duration in the metrics.
     void count_outcome(const http_exchange& exchange, const std::string& outcome,
                        const std::string& reason);
--- a/servers/gateway/request_flow_log.cpp
+++ b/servers/gateway/request_flow_log.cpp
@@ -48,6 +48,19 @@
     count_outcome(exchange, "refused", code);
 }
 
+void request_flow::log_stream_end(const http_exchange& exchange)
+{
+    const bool has_length = exchange.reader->has_length();
+    if (has_length && exchange.boundary.unfinished_bytes == 0)
+        return;
+    context_.log.write("stream end",
+                       {{"request", exchange.request.id.value},
+                        {"endpoint", exchange.endpoint.value},
+                        {"framing", has_length ? "length" : "connection"},
+                        {"unfinished_bytes",
+                         static_cast<std::int64_t>(exchange.boundary.unfinished_bytes)}});
+}
+
 void request_flow::count_outcome(const http_exchange& exchange,
                                  const std::string& outcome, const std::string& reason)
 {
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -229,6 +229,9 @@
     }
     std::string bytes = std::move(exchange.reader->body);
     exchange.reader->body.clear();
+    track_events(exchange.boundary, bytes);
+    if (is_complete)
+        log_stream_end(exchange);
     const instant now = context_.loop.now();
     if (exchange.last_chunk_at != instant{})
         exchange.longest_pause = std::max(exchange.longest_pause,
--- a/tests/policy/fleet_dispatch_test.cpp
+++ b/tests/policy/fleet_dispatch_test.cpp
@@ -405,6 +405,39 @@
     BOOST_TEST(retry_delay(milliseconds(300), 699).count() <= 100);
 }
 
+// Guards against a stream that was broken off inside an event and counts as complete.
+// Each row has the bytes of a stream in the pieces in which they arrive, and whether the
+// stream may end there.
+BOOST_AUTO_TEST_CASE(a_stream_may_end_only_between_two_events)
+{
+    struct boundary_case
+    {
+        std::vector<std::string> pieces;
+        bool is_complete;
+    };
+    const std::vector<boundary_case> rows{{{}, true},
+                                          {{"id: 1\ndata: a\n\n"}, true},
+                                          {{"id: 1\ndata: a\n"}, false},
+                                          {{"id: 1\ndata: a"}, false},
+                                          {{"id: 1\ndata: a\n\nid: 2"}, false},
+                                          {{"id: 1\ndata: a\n", "\n"}, true},
+                                          {{"id: 1\r\ndata: a\r\n\r", "\n"}, true},
+                                          {{"id: 1\r\ndata: a\r\n"}, false},
+                                          {{"id: 1\rdata: a\r\r"}, true},
+                                          {{"data: a\r", "data: b"}, false}};
+    for (const boundary_case& row : rows)
+    {
+        event_boundary boundary;
+        std::string bytes;
+        for (const std::string& piece : row.pieces)
+        {
+            track_events(boundary, piece);
+            bytes += piece;
+        }
+        BOOST_TEST((boundary.unfinished_bytes == 0) == row.is_complete, bytes);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(only_complete_events_are_taken)
 {
     std::string bytes = "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda";
