--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -137,6 +137,8 @@
     network_address address = free_address();
     std::string received;
     bool ended = false;
+    // How the caller's connection ended, if it did.
+    stream_end caller_end = stream_end::failed;
     int disconnected_callers = 0;
     std::vector<load_request_message> load_requests;
     // Called on each load request, while the request that needs the load is still being
@@ -232,7 +234,12 @@
         stream_handlers handlers;
         handlers.readable = [this](stream_id id)
         { received += std::exchange(context.loop.input(id), ""); };
-        handlers.ended = [this](stream_id, stream_end) { ended = true; };
+        handlers.ended = [this](stream_id id, stream_end end)
+        {
+            received += std::exchange(context.loop.input(id), "");
+            ended = true;
+            caller_end = end;
+        };
         return context.loop.connect(address, std::move(handlers));
     }
 
