Pass the end of a stream on only as the engine marked it, and only between two events

Cause: http_reader::finish() rightly calls a response without a length complete when its connection ends in order, and the request path passed that on with a last chunk, which says more than the engine did. The engine may have been cut off: its stream then ends inside an event, which nobody looked at, in any framing.

Fix: a stream without a length has none for its caller either: no chunks, Connection: close, an orderly end. An end inside an event, or before the first one where nothing else marks the end, is a failed attempt, whatever the framing says: the response is broken off, or resumed where the route allows it. On such a connection each other end is a reset, also that of this process, since an orderly one would look like the end of the stream. A resumable stream that began in chunks and goes on without a length still gets its last chunk after a complete event; the protocol calls that complete, and chunks can't be taken back.

--- a/policy/fleet/event_stream.cpp
+++ b/policy/fleet/event_stream.cpp
@@ -38,10 +38,9 @@
         if (is_second_half)
             continue;
         // An empty line ends the event.
-        if (ends_line && boundary.at_line_start)
-            boundary.unfinished_bytes = 0;
-        else
-            ++boundary.unfinished_bytes;
+        const bool ends_event = ends_line && boundary.at_line_start;
+        boundary.has_event = boundary.has_event || ends_event;
+        boundary.unfinished_bytes = ends_event ? 0 : boundary.unfinished_bytes + 1;
         boundary.at_line_start = ends_line;
     }
 }
--- a/policy/fleet/event_stream.hpp
+++ b/policy/fleet/event_stream.hpp
@@ -18,6 +18,8 @@
 {
     // Bytes since the end of the last complete event; 0 if the stream may end here.
     std::size_t unfinished_bytes = 0;
+    // At least one event is complete.
+    bool has_event = false;
     bool at_line_start = true;
     // The last byte was a carriage return, which a line feed may follow.
     bool after_carriage_return = false;
--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -204,14 +204,19 @@
 
 void event_loop::reset(stream_id id)
 {
-    failed_connects_.erase(id.value);
+    set_reset_on_close(id, true);
+    close(id);
+}
+
+void event_loop::set_reset_on_close(stream_id id, bool resets)
+{
     const auto found = streams_.find(id.value);
     if (found == streams_.end())
         return;
-    const linger reset_on_close{1, 0};
-    setsockopt(found->second.socket.number(), SOL_SOCKET, SO_LINGER, &reset_on_close,
-               sizeof reset_on_close);
-    streams_.erase(found);
+    found->second.resets_on_close = resets;
+    const linger option{resets ? 1 : 0, 0};
+    setsockopt(found->second.socket.number(), SOL_SOCKET, SO_LINGER, &option,
+               sizeof option);
 }
 
 void event_loop::close(stream_id id)
@@ -312,7 +317,7 @@
         target.output.clear();
         target.written = 0;
         if (target.closes_after_output)
-            return drain_and_close(id);
+            return target.resets_on_close ? close(id) : drain_and_close(id);
     }
     if (target.waiting_for_writable == all_written)
     {
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -87,7 +87,11 @@
     // Closes the stream with a TCP reset, which also discards output in the kernel's
     // buffer, so that none of it reaches the peer later.
     void reset(stream_id id);
-    // Closes the stream once its output is written and the peer has had time to read it.
+    // Makes each end of the stream that isn't requested otherwise a TCP reset, the end of
+    // this process among them, so that the peer can't take it for the end of a message.
+    void set_reset_on_close(stream_id id, bool resets);
+    // Closes the stream once its output is written and the peer has had time to read it;
+    // after set_reset_on_close() with a reset as soon as the output is written.
     void close_after_output(stream_id id);
 
     // Receives datagrams on an address. Throws std::runtime_error if the address can't be
@@ -122,6 +126,7 @@
         bool waiting_for_writable = false;
         bool reading_paused = false;
         bool closes_after_output = false;
+        bool resets_on_close = false;
         bool flush_scheduled = false;
         bool has_written = false;
     };
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -168,20 +168,29 @@
                   body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
 }
 
-void http_server::begin_response(stream_id caller, int status, const std::string& fields)
+void http_server::begin_response(stream_id caller, int status, const std::string& fields,
+                                 body_framing framing)
 {
     const auto found = connections_.find(caller.value);
     if (found == connections_.end())
         return;
-    context_.loop.send(caller, status_line(status) + fields +
-                                   connection_fields(found->second) +
-                                   "Transfer-Encoding: chunked\r\n\r\n");
+    caller_connection& connection = found->second;
+    connection.framing = framing;
+    const bool is_chunked = framing == body_framing::chunked;
+    connection.keep_alive = connection.keep_alive && is_chunked;
+    context_.loop.set_reset_on_close(caller, !is_chunked);
+    context_.loop.send(caller,
+                       status_line(status) + fields + connection_fields(connection) +
+                           (is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
 }
 
 void http_server::send_chunk(stream_id caller, std::string_view bytes)
 {
-    if (bytes.empty())
+    const auto found = connections_.find(caller.value);
+    if (bytes.empty() || found == connections_.end())
         return;
+    if (found->second.framing == body_framing::connection_end)
+        return context_.loop.send(caller, bytes);
     std::string chunk = chunk_size_line(bytes.size());
     chunk.append(bytes).append("\r\n");
     context_.loop.send(caller, chunk);
@@ -189,9 +198,12 @@
 
 void http_server::end_response(stream_id caller)
 {
-    if (!connections_.contains(caller.value))
+    const auto found = connections_.find(caller.value);
+    if (found == connections_.end())
         return;
-    context_.loop.send(caller, "0\r\n\r\n");
+    context_.loop.set_reset_on_close(caller, false);
+    if (found->second.framing == body_framing::chunked)
+        context_.loop.send(caller, "0\r\n\r\n");
     finish_response(caller);
 }
 
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -13,6 +13,15 @@
 namespace pollenhaven
 {
 
+// What tells a caller where the body of a streamed response ends.
+enum class body_framing
+{
+    // The last chunk.
+    chunked,
+    // An orderly end of the connection.
+    connection_end
+};
+
 // An HTTP/1.1 server on the event loop, for callers and for operators. Reads complete
 // requests, one at a time on each connection, and writes their responses. The functions
 // that write a response do nothing if the caller has disconnected.
@@ -37,14 +46,14 @@
     // the error code, the message, and whether the request may have run.
     void send_error(stream_id caller, const failure& reason,
                     const std::string& fields = "");
-    // Sends the head of a response with a chunked body. send_chunk() and end_response()
-    // must follow.
-    void begin_response(stream_id caller, int status, const std::string& fields);
+    // Sends the head of a streamed response. send_chunk() and end_response() must follow.
+    void begin_response(stream_id caller, int status, const std::string& fields,
+                        body_framing framing);
     void send_chunk(stream_id caller, std::string_view bytes);
-    // Sends the final chunk.
+    // Marks the end of the response in its framing.
     void end_response(stream_id caller);
-    // Closes the connection without the final chunk, so that the caller can't mistake the
-    // truncated response for a complete one.
+    // Closes the connection without the final chunk, or with a reset, so that the caller
+    // can't mistake the truncated response for a complete one.
     void abort_response(stream_id caller);
 
     // Closes connections that have been idle for longer than the configured time, or all
@@ -64,6 +73,8 @@
         // arrive, the time at which its first bytes arrived.
         instant idle_since;
         bool request_started = false;
+        // The framing of the streamed response in progress.
+        body_framing framing = body_framing::chunked;
     };
 
     void on_accepted(stream_id id);
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -95,6 +95,8 @@
     // response once it is complete.
     void relay(http_exchange& exchange, bool is_complete);
     void relay_stream(http_exchange& exchange, bool is_complete);
+    // Sends the head of a streamed response, in the framing that the endpoint uses.
+    void begin_stream(http_exchange& exchange);
     void relay_complete_response(http_exchange& exchange);
     // Reads no more of a stream while its caller has not read what was sent before.
     void pause_if_caller_is_slow(http_exchange& exchange);
@@ -141,8 +143,8 @@
     void end_with_error_response(http_exchange& exchange, const failure& reason);
     void remove_exchange(http_exchange& exchange);
     void log_refusal(const http_exchange& exchange, const std::string& code);
-    // Logs how a stream ended, if the end of the connection or the middle of an event
-    // leaves doubt that it is complete.
+    // Logs how a stream ended, if the endpoint stated no length or it ended inside an
+    // event.
     void log_stream_end(const http_exchange& exchange);
     // Counts the request's outcome and its duration in the metrics.
     void count_outcome(const http_exchange& exchange, const std::string& outcome,
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -51,6 +51,24 @@
     return status >= status_ok_first && status <= status_ok_last;
 }
 
+bool is_event_stream(const http_head& head)
+{
+    const std::string_view type = field_value(head, "Content-Type");
+    return type.empty() || type.starts_with("text/event-stream");
+}
+
+// Whether a stream whose framing says that it is complete may end here. Framing alone
+// isn't enough: an endpoint that is cut off may close its connection in order, or frame
+// what it has made so far.
+bool may_end_here(const http_exchange& exchange)
+{
+    if (!is_event_stream(exchange.reader->head()))
+        return true;
+    const bool has_evidence =
+        exchange.reader->has_length() || exchange.boundary.has_event;
+    return exchange.boundary.unfinished_bytes == 0 && has_evidence;
+}
+
 } // namespace
 
 bool request_flow::may_retry(const http_exchange& exchange) const
@@ -216,20 +234,11 @@
 void request_flow::relay_stream(http_exchange& exchange, bool is_complete)
 {
     if (exchange.phase != exchange_phase::responding)
-    {
-        exchange.phase = exchange_phase::responding;
-        log_event(exchange, "answer began", "");
-        context_.metrics.observe_seconds(
-            "pollenhaven_first_byte_seconds",
-            to_seconds(context_.loop.now() - exchange.arrived));
-        callers_.begin_response(
-            exchange.caller, exchange.reader->head().status,
-            context_.dialect.write_response_fields(exchange.reader->head()) +
-                extra_interface_fields(exchange));
-    }
+        begin_stream(exchange);
     std::string bytes = std::move(exchange.reader->body);
     exchange.reader->body.clear();
     track_events(exchange.boundary, bytes);
+    const bool ends_well = is_complete && may_end_here(exchange);
     if (is_complete)
         log_stream_end(exchange);
     const instant now = context_.loop.now();
@@ -240,8 +249,8 @@
     if (exchange.matched_route->resumable)
     {
         exchange.partial_event += bytes;
-        bytes = is_complete ? std::move(exchange.partial_event)
-                            : take_complete_events(exchange.partial_event);
+        bytes = ends_well ? std::move(exchange.partial_event)
+                          : take_complete_events(exchange.partial_event);
         const std::string last = find_last_event_id(bytes);
         if (!last.empty())
             exchange.last_event_id = last;
@@ -255,10 +264,26 @@
         pause_if_caller_is_slow(exchange);
         return schedule_stall_check(exchange);
     }
+    if (!ends_well)
+        return on_attempt_failed(exchange, "the stream ended inside an event", true);
     callers_.end_response(exchange.caller);
     complete(exchange, true);
 }
 
+void request_flow::begin_stream(http_exchange& exchange)
+{
+    exchange.phase = exchange_phase::responding;
+    log_event(exchange, "answer began", "");
+    context_.metrics.observe_seconds("pollenhaven_first_byte_seconds",
+                                     to_seconds(context_.loop.now() - exchange.arrived));
+    callers_.begin_response(
+        exchange.caller, exchange.reader->head().status,
+        context_.dialect.write_response_fields(exchange.reader->head()) +
+            extra_interface_fields(exchange),
+        exchange.reader->has_length() ? body_framing::chunked
+                                      : body_framing::connection_end);
+}
+
 void request_flow::pause_if_caller_is_slow(http_exchange& exchange)
 {
     if (exchange.is_paused ||
