Pass on a plain response without a length as one without a length

Callers saw a Content-Length for a body whose end only its endpoint's connection had marked, so they couldn't tell that it may have been cut off; a repeated call with an idempotency key got the recorded body in the same way.

Evidence: a_response_without_a_length_gets_none_on_the_way failed before (both rows: a length at the caller); it and a_recorded_response_keeps_that_its_length_is_unknown (new field, no test could be written before) pass.

Fix: such a response goes out with Connection: close and an orderly end, and its record keeps that its length is unknown.

--- a/policy/call_claim.cpp
+++ b/policy/call_claim.cpp
@@ -25,12 +25,14 @@
 
 std::string encode_claim(const claim_record& record)
 {
-    const nlohmann::json object = {{"done", record.state == claim_state::done},
-                                   {"attempt", record.attempt},
-                                   {"fingerprint", record.fingerprint},
-                                   {"claimed_ms", record.claimed_at.count()},
-                                   {"status", record.status},
-                                   {"body", record.body}};
+    nlohmann::json object = {{"done", record.state == claim_state::done},
+                             {"attempt", record.attempt},
+                             {"fingerprint", record.fingerprint},
+                             {"claimed_ms", record.claimed_at.count()},
+                             {"status", record.status},
+                             {"body", record.body}};
+    if (!record.has_length)
+        object["has_length"] = false;
     return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
@@ -49,6 +51,7 @@
         record.claimed_at = milliseconds(object.value("claimed_ms", 0LL));
         record.status = object.value("status", 0);
         record.body = object.value("body", "");
+        record.has_length = object.value("has_length", true);
         return record;
     }
     catch (const nlohmann::json::exception&)
@@ -109,7 +112,8 @@
 }
 
 std::optional<claim_record> completed_claim_record(const claim_request& request,
-                                                   int status, const std::string& body)
+                                                   int status, const std::string& body,
+                                                   bool has_length)
 {
     if (body.size() > max_body_bytes)
         return std::nullopt;
@@ -117,6 +121,7 @@
     record.state = claim_state::done;
     record.status = status;
     record.body = body;
+    record.has_length = has_length;
     return record;
 }
 
--- a/policy/call_claim.hpp
+++ b/policy/call_claim.hpp
@@ -38,6 +38,9 @@
     // For done: status and body of the response.
     int status = 0;
     std::string body;
+    // False if only the end of the connection marked the end of the body, so that it may
+    // have been cut off.
+    bool has_length = true;
 };
 
 // Encodes a record for the store.
@@ -98,7 +101,8 @@
 // Returns the record of a call that has run, with its response; none if the body is too
 // long to be stored.
 std::optional<claim_record> completed_claim_record(const claim_request& request,
-                                                   int status, const std::string& body);
+                                                   int status, const std::string& body,
+                                                   bool has_length);
 
 // Returns transactions that remove the claims older than the retention time, each with
 // at most as many entries as the store accepts. A claim that cannot be decoded has no
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -141,8 +141,14 @@
 }
 
 void http_server::send_response(stream_id caller, int status, const std::string& fields,
-                                const std::string& body)
+                                const std::string& body, body_framing framing)
 {
+    if (framing == body_framing::connection_end)
+    {
+        begin_response(caller, status, fields, framing);
+        send_chunk(caller, body);
+        return end_response(caller);
+    }
     const auto found = connections_.find(caller.value);
     if (found == connections_.end())
         return;
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -13,9 +13,11 @@
 namespace pollenhaven
 {
 
-// What tells a caller where the body of a streamed response ends.
+// What tells a caller where the body of a response ends.
 enum class body_framing
 {
+    // The Content-Length field.
+    length,
     // The last chunk.
     chunked,
     // An orderly end of the connection.
@@ -39,14 +41,17 @@
 
     // Throws std::runtime_error if the address can't be bound.
     void listen(const network_address& address);
-    // Sends a complete response. `fields` are header lines, each of which ends in CRLF.
+    // Sends a complete response, with a length or ended by the connection. `fields` are
+    // header lines, each of which ends in CRLF.
     void send_response(stream_id caller, int status, const std::string& fields,
-                       const std::string& body);
+                       const std::string& body,
+                       body_framing framing = body_framing::length);
     // Sends an error response that the daemon itself generates. The JSON body contains
     // the error code, the message, and whether the request may have run.
     void send_error(stream_id caller, const failure& reason,
                     const std::string& fields = "");
-    // Sends the head of a streamed response. send_chunk() and end_response() must follow.
+    // Sends the head of a streamed response, chunked or ended by the connection.
+    // send_chunk() and end_response() must follow.
     void begin_response(stream_id caller, int status, const std::string& fields,
                         body_framing framing);
     void send_chunk(stream_id caller, std::string_view bytes);
--- a/servers/gateway/idempotency_claims.cpp
+++ b/servers/gateway/idempotency_claims.cpp
@@ -149,10 +149,10 @@
 
 void idempotency_claims::record_response(const claim_request& request,
                                          store_revision claim_revision, int status,
-                                         const std::string& body)
+                                         const std::string& body, bool has_length)
 {
     const std::optional<claim_record> record =
-        completed_claim_record(request, status, body);
+        completed_claim_record(request, status, body, has_length);
     if (!record)
     {
         context_.log.write("answer not recorded",
--- a/servers/gateway/idempotency_claims.hpp
+++ b/servers/gateway/idempotency_claims.hpp
@@ -30,9 +30,9 @@
     void abandon(const std::string& attempt);
     // Records the response to a request that ran, so that duplicates get the same one.
     // The write is retried until the store confirms or refuses it. Responses with a body
-    // above a limit aren't recorded.
+    // above a limit aren't recorded. `has_length` is kept for the duplicates' responses.
     void record_response(const claim_request& request, store_revision claim_revision,
-                         int status, const std::string& body);
+                         int status, const std::string& body, bool has_length);
     // Releases the key of a request that didn't run. The removal is retried until the
     // store confirms or refuses it.
     void release(const claim_request& request, store_revision claim_revision);
--- a/servers/gateway/request_flow_admission.cpp
+++ b/servers/gateway/request_flow_admission.cpp
@@ -126,7 +126,9 @@
     callers_.send_response(exchange.caller, decision.existing.status,
                            "Content-Type: application/json\r\n" +
                                extra_interface_fields(exchange),
-                           decision.existing.body);
+                           decision.existing.body,
+                           decision.existing.has_length ? body_framing::length
+                                                        : body_framing::connection_end);
     remove_exchange(exchange);
 }
 
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -348,13 +348,15 @@
         return on_attempt_failed(exchange, "the stream was not resumed", true);
     const std::string body = std::move(exchange.reader->body);
     const int status = exchange.reader->head().status;
+    const bool has_length = exchange.reader->has_length();
     if (exchange.claim_revision.value != 0)
-        claims_.record_response(exchange.claim, exchange.claim_revision, status, body);
+        claims_.record_response(exchange.claim, exchange.claim_revision, status, body,
+                                has_length);
     callers_.send_response(
         exchange.caller, status,
         context_.dialect.write_response_fields(exchange.reader->head()) +
             extra_interface_fields(exchange),
-        body);
+        body, has_length ? body_framing::length : body_framing::connection_end);
     complete(exchange, true);
 }
 
--- a/tests/contract/response_end_test.cpp
+++ b/tests/contract/response_end_test.cpp
@@ -160,6 +160,23 @@
     }
 }
 
+// Guards against a plain response whose length nobody stated and that gets one on the
+// way, so that its caller can't tell that the endpoint may have been cut off.
+BOOST_AUTO_TEST_CASE(a_response_without_a_length_gets_none_on_the_way)
+{
+    for (const char* path : {"/once/1", "/look/1"})
+    {
+        flow_fixture test;
+        test.add_endpoint("i-1", "plain", test.first);
+        test.first.scripts = {closes_in_order(unframed_head + "fine")};
+        test.send_request(path);
+        const received_response response = read_at_caller(test);
+        BOOST_TEST(response.is_complete, path);
+        BOOST_TEST(!response.has_length, path);
+        BOOST_TEST(response.body == "fine", path);
+    }
+}
+
 // Guards against a JSON answer on a streaming route that is taken for an unfinished
 // event.
 BOOST_AUTO_TEST_CASE(a_body_that_is_no_event_stream_has_no_events_to_complete)
--- a/tests/policy/request_policy_test.cpp
+++ b/tests/policy/request_policy_test.cpp
@@ -65,7 +65,7 @@
     const claim_request request{"key",
                                 {claim_state::claimed, "mine", "print", {}, 0, ""}};
     const std::optional<claim_record> completed =
-        completed_claim_record(request, 200, "body");
+        completed_claim_record(request, 200, "body", true);
     BOOST_REQUIRE(completed.has_value());
     const store_item stored{"key", encode_claim(*completed), {3}, false};
     claim_request duplicate = request;
@@ -73,11 +73,24 @@
     const claim_decision same = resolve_existing_claim(duplicate, stored);
     BOOST_TEST((same.outcome == claim_outcome::answered_before));
     BOOST_TEST(same.existing.body == "body");
+    BOOST_TEST(same.existing.has_length);
     duplicate.record.fingerprint = "other";
     BOOST_TEST(
         (resolve_existing_claim(duplicate, stored).outcome == claim_outcome::key_reused));
-    BOOST_TEST(
-        !completed_claim_record(request, 200, std::string(100000, 'x')).has_value());
+    BOOST_TEST(!completed_claim_record(request, 200, std::string(100000, 'x'), true)
+                    .has_value());
+}
+
+// Guards against a recorded response whose length nobody stated and that gets one when it
+// is repeated.
+BOOST_AUTO_TEST_CASE(a_recorded_response_keeps_that_its_length_is_unknown)
+{
+    const claim_request request{"key",
+                                {claim_state::claimed, "mine", "print", {}, 0, ""}};
+    const std::optional<claim_record> completed =
+        completed_claim_record(request, 200, "body", false);
+    BOOST_REQUIRE(completed.has_value());
+    BOOST_TEST(!decode_claim(encode_claim(*completed)).has_length);
 }
 
 BOOST_AUTO_TEST_CASE(only_expired_claims_are_removed)
