A cut-off store answer no longer ends the daemon while it looks for a late claim

Callers would have lost all requests of a daemon. Cause: release_late_claim() is the one place that reads a store's answer without catching dialect_error; an answer without a length that is cut off counts as an answer (the end of the connection as the end of the message), its JSON can't be read, and the exception leaves the event loop.

The other readers of store answers and engine reports catch it: JSON is its own witness of completeness, so the HTTP client keeps handing such answers on.

--- a/servers/gateway/idempotency_claims.cpp
+++ b/servers/gateway/idempotency_claims.cpp
@@ -137,12 +137,21 @@
                 {
                     if (!result.has_response || result.status != status_ok)
                         return release_late_claim(request, until);
-                    const store_page page = context_.dialect.read_page(result.body);
-                    const store_item* const item = find_item(page, request.key);
-                    if (item != nullptr && is_own_claim(request, *item))
-                        return release(request, item->revision);
-                    if (item == nullptr && context_.loop.now() < until)
+                    try
+                    {
+                        const store_page page = context_.dialect.read_page(result.body);
+                        const store_item* const item = find_item(page, request.key);
+                        if (item != nullptr && is_own_claim(request, *item))
+                            return release(request, item->revision);
+                        if (item == nullptr && context_.loop.now() < until)
+                            release_late_claim(request, until);
+                    }
+                    catch (const dialect_error& error)
+                    {
+                        context_.log.write("claim not read", {{"key", request.key},
+                                                              {"reason", error.what()}});
                         release_late_claim(request, until);
+                    }
                 });
         });
 }
--- a/tests/contract/response_end_test.cpp
+++ b/tests/contract/response_end_test.cpp
@@ -191,4 +191,22 @@
     BOOST_TEST(response.body == "{}");
 }
 
+// Guards against a daemon that ends because the store's answer to the search for a late
+// claim was cut off: without a length, its orderly end hides that.
+BOOST_AUTO_TEST_CASE(a_cut_off_store_answer_ends_neither_the_daemon_nor_the_search)
+{
+    flow_fixture test;
+    test.context.settings.store_address = test.first.address;
+    idempotency_claims claims(test.context);
+    const std::string cut_off = "HTTP/1.1 200 OK\r\n\r\n{\"items\":[";
+    test.first.scripts = {closes_in_order(""), closes_in_order(cut_off)};
+    std::optional<claim_decision> decision;
+    claims.claim({"key", {}}, [&](const claim_decision& made) { decision = made; });
+    const auto searched_twice = [&] { return test.first.requests.size() >= 4; };
+    BOOST_CHECK_NO_THROW(test.run_until(searched_twice, milliseconds(3000)));
+    BOOST_REQUIRE(decision.has_value());
+    BOOST_TEST((decision->outcome == claim_outcome::unavailable));
+    BOOST_TEST(searched_twice());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
