--- a/core/ids.hpp
+++ b/core/ids.hpp
@@ -39,6 +39,8 @@
 using service_id = strong_string<struct service_id_tag>;
 // Identifies a request; unique across all daemons.
 using request_id = strong_string<struct request_id_tag>;
+// Identifies a part of a prompt by its content; equal parts of two prompts have the same.
+using prompt_part_id = strong_string<struct prompt_part_id_tag>;
 // A key chosen by the caller; a non-idempotent call runs at most once under it.
 using idempotency_key = strong_string<struct idempotency_key_tag>;
 // An address of the form IP:PORT.
--- a/core/interfaces/platform_dialect.hpp
+++ b/core/interfaces/platform_dialect.hpp
@@ -48,6 +48,9 @@
     int prompt_tokens = 0;
     // Number of tokens to generate, or its maximum; 0 if unknown.
     int output_tokens = 0;
+    // The parts of the prompt that other requests may have too, in order. The last part,
+    // which is the request's or its session's own, isn't among them.
+    std::vector<prompt_part_id> shared_prompt_parts;
     // The id of the last event that the caller received of an interrupted stream; the
     // response resumes after it.
     std::string last_event_id;
--- a/servers/gateway/crash_guard.cpp
+++ b/servers/gateway/crash_guard.cpp
@@ -18,6 +18,14 @@
 // A datagram with this many suspects fits into a few network packets.
 constexpr std::size_t max_suspects_per_message = 100;
 
+std::string joined(const std::vector<prompt_part_id>& parts)
+{
+    std::string text;
+    for (const prompt_part_id& part : parts)
+        text += (text.empty() ? "" : ",") + part.value;
+    return text;
+}
+
 } // namespace
 
 crash_guard::crash_guard(gateway_context& context, broadcast_function broadcast)
@@ -72,6 +80,13 @@
 
 void crash_guard::on_cut_off(http_exchange& exchange)
 {
+    const auto running = to_milliseconds(context_.loop.now() - exchange.sent_at);
+    context_.log.write("request cut off",
+                       {{"request", exchange.request.id.value},
+                        {"endpoint", exchange.endpoint.value},
+                        {"prompt_parts", joined(exchange.request.shared_prompt_parts)},
+                        {"running_ms", std::int64_t{running.count()}},
+                        {"has_event", std::int64_t{exchange.boundary.has_event}}});
     record_cut_off(detector_, exchange.endpoint, fingerprint_of(exchange),
                    context_.loop.now());
     probe(exchange.endpoint);
--- a/tests/contract/fleet_dialect_test.cpp
+++ b/tests/contract/fleet_dialect_test.cpp
@@ -57,6 +57,27 @@
     BOOST_TEST(request.deadline->count() == 15000);
 }
 
+// The last part is the request's own, so a request with one part shares none.
+BOOST_AUTO_TEST_CASE(the_parts_of_a_prompt_that_requests_share_are_read)
+{
+    const std::vector<std::pair<std::string, std::string>> rows{
+        {"5c1e:800,91bd:410,e440:250", "5c1e 91bd "},
+        {"5c1e:800,e440:250", "5c1e "},
+        {"e440:250", ""},
+        {"", ""},
+        {",:5,x", "  "}};
+    for (const auto& [field, expected] : rows)
+    {
+        http_head head = request_head();
+        head.fields.push_back({"X-Pollenhaven-Prefix-Hash", field});
+        std::string ids;
+        for (const prompt_part_id& part :
+             dialect().read_request(head).shared_prompt_parts)
+            ids += part.value + " ";
+        BOOST_TEST(ids == expected, field);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_deadline_that_is_not_an_unsigned_integer_is_rejected)
 {
     for (const char* const malformed : {"soon", "-1", "1.5", "10 ", "0x10"})
