--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -315,13 +315,16 @@
 }
 
 http_response fleet::send_platform_chat(int daemon, const std::string& request_id,
-                                        const std::string& adapter) const
-{
-    return post(caller_address(daemon), "/chat/1", "body",
-                {{"Host", fleet_host},
-                 {"X-Pollenhaven-Request-Id", request_id},
-                 {"X-Pollenhaven-Model", "base/" + adapter},
-                 {"X-Pollenhaven-Token-Count", "100,50"}},
+                                        const std::string& adapter,
+                                        const std::string& prompt_parts) const
+{
+    std::map<std::string, std::string> fields{{"Host", fleet_host},
+                                              {"X-Pollenhaven-Request-Id", request_id},
+                                              {"X-Pollenhaven-Model", "base/" + adapter},
+                                              {"X-Pollenhaven-Token-Count", "100,50"}};
+    if (!prompt_parts.empty())
+        fields["X-Pollenhaven-Prefix-Hash"] = prompt_parts;
+    return post(caller_address(daemon), "/chat/1", "body of " + request_id, fields,
                 request_timeout_s);
 }
 
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -108,9 +108,11 @@
     // Sends a request to a plain service through the platform's own interface.
     http_response send_platform_request(int daemon, const std::string& request_id,
                                         const std::string& path = "/orders/1") const;
-    // Sends a chat on an adapter through the platform's own interface.
+    // Sends a chat on an adapter through the platform's own interface. `prompt_parts` is
+    // the list of the prompt's parts; the chat has none if it is empty.
     http_response send_platform_chat(int daemon, const std::string& request_id,
-                                     const std::string& adapter) const;
+                                     const std::string& adapter,
+                                     const std::string& prompt_parts = "") const;
     // Calls the booking service through the OpenAI-compatible interface.
     http_response send_booking_request(int daemon, const std::string& key,
                                        const std::string& body = "{}") const;
--- /dev/null
+++ b/tests/process/crash_containment_test.cpp
@@ -0,0 +1,108 @@
+// Requests that crash engines are kept from them, and other requests are served.
+
+#define BOOST_TEST_MODULE crash_containment
+#include "tests/harness/fleet.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+#include <thread>
+
+using namespace pollenhaven::harness;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+// The users' bounds: this long after the fifth crash at most three more requests with the
+// part may reach engines; after twice this time sound requests are served again.
+constexpr seconds stability_time{3};
+constexpr int crashes_before_stability = 5;
+constexpr int max_later_arrivals = 3;
+
+// Sends requests with one part that crashes engines, and others with the parts beside it.
+// No two requests are alike.
+class part_traffic
+{
+public:
+    explicit part_traffic(const fleet& deployment) : deployment_(deployment) {}
+
+    http_response send_crashing(int daemon)
+    {
+        return send(daemon, "shared:90,near:40,bad:30");
+    }
+    http_response send_sound(int daemon) { return send(daemon, "shared:90,near:40"); }
+
+private:
+    http_response send(int daemon, const std::string& parts)
+    {
+        const std::string number = std::to_string(++sent_);
+        return deployment_.send_platform_chat(daemon, "part-" + number, "a1",
+                                              parts + ",own" + number + ":20");
+    }
+
+    const fleet& deployment_;
+    int sent_ = 0;
+};
+
+// Waits until all engines answer, since those that crashed take a moment to restart.
+int count_crashes(const fleet& deployment, int engines)
+{
+    int crashes = 0;
+    for (int engine = 0; engine < engines; ++engine)
+    {
+        nlohmann::json counts;
+        BOOST_REQUIRE(fleet::wait_for(
+            [&]
+            {
+                counts = deployment.engine_counts(engine);
+                return counts.is_object();
+            },
+            seconds(5)));
+        crashes += counts["crashes"].get<int>();
+    }
+    return crashes;
+}
+
+} // namespace
+
+// Guards against engines that crash one after the other (BUDGET), and against sound
+// requests that are kept from engines together with those that crash them (LOST).
+BOOST_AUTO_TEST_CASE(a_prompt_part_that_crashes_engines_is_blocked_and_no_other_part_is)
+{
+    fleet_options options;
+    options.engines = 6;
+    fleet deployment(options);
+    for (int engine = 0; engine < options.engines; ++engine)
+        control_standin(deployment.engine_address(engine), {{"crash_part", "bad"}});
+    part_traffic traffic(deployment);
+    constexpr int max_requests = 30;
+    for (int i = 0; i < max_requests &&
+                    count_crashes(deployment, options.engines) < crashes_before_stability;
+         ++i)
+    {
+        traffic.send_crashing(i % 3);
+        traffic.send_sound((i + 1) % 3);
+        std::this_thread::sleep_for(milliseconds(100));
+    }
+    std::this_thread::sleep_for(stability_time);
+    const int crashes = count_crashes(deployment, options.engines);
+    for (int i = 0; i < 3 * max_later_arrivals; ++i)
+        BOOST_TEST(traffic.send_crashing(i % 3).status != 200);
+    std::this_thread::sleep_for(stability_time);
+    constexpr int sound_requests = 21;
+    int served = 0;
+    for (int i = 0; i < sound_requests; ++i)
+    {
+        traffic.send_crashing((i + 1) % 3);
+        served += traffic.send_sound(i % 3).status == 200 ? 1 : 0;
+    }
+    BOOST_TEST(2 * served >= sound_requests);
+    // A daemon that starts now learns of it from its peers.
+    deployment.start_daemon(2);
+    std::this_thread::sleep_for(2 * stability_time);
+    for (int i = 0; i < 2 * max_later_arrivals; ++i)
+        traffic.send_crashing(2);
+    BOOST_TEST(count_crashes(deployment, options.engines) - crashes <=
+               max_later_arrivals);
+}
--- a/tests/standins/fleet_engine_standin.cpp
+++ b/tests/standins/fleet_engine_standin.cpp
@@ -181,23 +181,29 @@
     }
 
     // Applies the fields of POST /control: crash_marker (a text in a request body that
-    // makes the engine crash), wrong_adapter (true rejects all chat completions),
-    // fail_loads (number of loads to fail) and event_ms (time between events).
+    // makes the engine crash), crash_part (a shared part of a prompt that does),
+    // wrong_adapter (true rejects all chat completions), fail_loads (number of loads to
+    // fail) and event_ms (time between events).
     void control(const json& change)
     {
         const std::lock_guard lock(mutex_);
         crash_marker_ = change.value("crash_marker", crash_marker_);
+        crash_part_ = change.value("crash_part", crash_part_);
         rejects_adapters_ = change.value("wrong_adapter", rejects_adapters_);
         loads_to_fail_ = change.value("fail_loads", loads_to_fail_);
         options_.event_interval_ms = change.value("event_ms", options_.event_interval_ms);
     }
 
-    // Returns true, and counts a crash, if the body contains the crash marker.
-    bool check_crash_marker(const std::string& body)
+    // Returns true, and counts a crash, if the body contains the crash marker or one of
+    // the prompt's parts but the last is the crash part.
+    bool check_crash(const std::string& body, const std::string& prompt_parts)
     {
         const std::lock_guard lock(mutex_);
         const bool crashes =
-            !crash_marker_.empty() && body.find(crash_marker_) != std::string::npos;
+            (!crash_marker_.empty() && body.find(crash_marker_) != std::string::npos) ||
+            (!crash_part_.empty() &&
+             (',' + prompt_parts.substr(0, prompt_parts.rfind(',') + 1))
+                     .find(',' + crash_part_ + ':') != std::string::npos);
         crashes_ += crashes ? 1 : 0;
         return crashes;
     }
@@ -265,6 +271,7 @@
     int loads_to_fail_ = 0;
     bool rejects_adapters_ = false;
     std::string crash_marker_;
+    std::string crash_part_;
 };
 
 bool is_for_other_instance(const httplib::Request& request,
@@ -467,7 +474,8 @@
             response.status = status_misdirected;
             return;
         }
-        if (engine_.check_crash_marker(request.body))
+        if (engine_.check_crash(request.body,
+                                request.get_header_value("X-Pollenhaven-Prefix-Hash")))
         {
             crash();
             return abort_connection(response);
