Block the part of a prompt that crashes engines, found by group testing

Cause: a crash history that knows a request by its whole content. Each of these requests was a new suspect with one crash, so none was ever blocked.

Ruled out: late evidence alone (it is told within 250 ms, and nothing would have been blocked at any time); the second part of the prompts in question, which is in more cut-offs but was answered in sound requests.

The part that is in most crashes since its last answer, of equal ones the one furthest from the beginning of the prompt, is blocked after three crashes; it explains them, so they don't count against the parts beside it. An answer ends a block at all daemons, and the evidence goes to the next explanation. A blocked part is tried again by one request of the fleet, after 60 s and then twice as long each time. Blocks are told three times, and gossiped to three peers a second, so that daemons that have just started or were cut off learn of them within the stability time. All state is bounded.

--- a/policy/fleet/crash_detector.cpp
+++ b/policy/fleet/crash_detector.cpp
@@ -1,5 +1,7 @@
 #include "policy/fleet/crash_detector.hpp"
 
+#include <algorithm>
+
 namespace pollenhaven
 {
 
@@ -19,9 +21,29 @@
 } // namespace
 
 void record_cut_off(crash_detector& detector, const endpoint_id& endpoint,
-                    const std::string& fingerprint, instant now)
+                    const cut_off_request& request)
+{
+    detector.cut_off[endpoint].push_back(request);
+}
+
+positioned_parts unanswered_parts(const crash_detector& detector,
+                                  const endpoint_id& endpoint, instant now)
 {
-    detector.cut_off[endpoint].push_back({fingerprint, now});
+    positioned_parts parts;
+    const auto found = detector.cut_off.find(endpoint);
+    if (found == detector.cut_off.end())
+        return parts;
+    for (const cut_off_request& request : found->second)
+    {
+        int position = 0;
+        for (const prompt_part_id& part : request.unanswered_parts)
+        {
+            if (is_recent(request, now))
+                parts[part] = std::max(parts[part], position);
+            ++position;
+        }
+    }
+    return parts;
 }
 
 std::map<std::string, int> record_endpoint_lost(crash_detector& detector,
--- a/policy/fleet/crash_detector.hpp
+++ b/policy/fleet/crash_detector.hpp
@@ -2,6 +2,7 @@
 #define POLLENHAVEN_POLICY_FLEET_CRASH_DETECTOR_HPP
 
 #include "policy/crash_history.hpp"
+#include "policy/fleet/prompt_part_crashes.hpp"
 
 #include <map>
 #include <set>
@@ -16,6 +17,8 @@
 {
     std::string fingerprint;
     instant cut_off_at{};
+    // The shared parts of its prompt; none if the endpoint had begun to answer it.
+    std::vector<prompt_part_id> unanswered_parts;
 };
 
 // Distinguishes crashes of endpoints from connections that broke for other reasons. A
@@ -32,7 +35,12 @@
 
 // Records that the connection to the endpoint broke while it ran this request.
 void record_cut_off(crash_detector& detector, const endpoint_id& endpoint,
-                    const std::string& fingerprint, instant now);
+                    const cut_off_request& request);
+
+// Returns the prompt parts of the requests that record_endpoint_lost() would count and
+// that the endpoint had not begun to answer.
+positioned_parts unanswered_parts(const crash_detector& detector,
+                                  const endpoint_id& endpoint, instant now);
 
 // Records a crash for the requests that were cut off shortly before their endpoint was
 // found to be unreachable, removed or restarted. Returns the crash counts that changed,
--- a/servers/gateway/crash_guard.cpp
+++ b/servers/gateway/crash_guard.cpp
@@ -28,8 +28,10 @@
 
 } // namespace
 
-crash_guard::crash_guard(gateway_context& context, broadcast_function broadcast)
-    : context_(context), broadcast_(std::move(broadcast))
+crash_guard::crash_guard(gateway_context& context, broadcast_function broadcast,
+                         broadcast_function gossip)
+    : context_(context), broadcast_(broadcast),
+      prompt_parts_(context, std::move(broadcast), std::move(gossip))
 {
 }
 
@@ -72,6 +74,7 @@
 
 void crash_guard::on_completed(http_exchange& exchange)
 {
+    prompt_parts_.on_answered(exchange);
     if (request_suspect_status(exchange) != suspect_status::suspected)
         return;
     record_completed(detector_.history, fingerprint_of(exchange));
@@ -87,8 +90,10 @@
                         {"prompt_parts", joined(exchange.request.shared_prompt_parts)},
                         {"running_ms", std::int64_t{running.count()}},
                         {"has_event", std::int64_t{exchange.boundary.has_event}}});
-    record_cut_off(detector_, exchange.endpoint, fingerprint_of(exchange),
-                   context_.loop.now());
+    cut_off_request request{fingerprint_of(exchange), context_.loop.now(), {}};
+    if (!exchange.boundary.has_event)
+        request.unanswered_parts = exchange.request.shared_prompt_parts;
+    record_cut_off(detector_, exchange.endpoint, request);
     probe(exchange.endpoint);
 }
 
@@ -121,6 +126,8 @@
         crash_settle_time,
         [this, endpoint]
         {
+            const positioned_parts parts =
+                unanswered_parts(detector_, endpoint, context_.loop.now());
             const std::map<std::string, int> changed =
                 record_endpoint_lost(detector_, endpoint, context_.loop.now());
             if (changed.empty())
@@ -131,6 +138,7 @@
                                                  detector_.history.suspects.size())}});
             for (const auto& [fingerprint, crashes] : changed)
                 announce(fingerprint, crashes);
+            prompt_parts_.on_crash(endpoint, parts);
         });
 }
 
@@ -200,9 +208,10 @@
                   [](const auto& entry) { return entry.second.sends_left == 0; });
 }
 
-void crash_guard::remove_expired_crashes()
+void crash_guard::run_periodic_work()
 {
     remove_expired(detector_, context_.loop.now());
+    prompt_parts_.run_periodic_work();
 }
 
 } // namespace pollenhaven
--- a/servers/gateway/crash_guard.hpp
+++ b/servers/gateway/crash_guard.hpp
@@ -5,6 +5,7 @@
 #include "servers/gateway/fleet_messages.hpp"
 #include "servers/gateway/gateway_context.hpp"
 #include "servers/gateway/http_exchange.hpp"
+#include "servers/gateway/prompt_part_guard.hpp"
 
 #include <functional>
 #include <map>
@@ -22,7 +23,12 @@
 public:
     using broadcast_function = std::function<void(const fleet_message&)>;
 
-    crash_guard(gateway_context& context, broadcast_function broadcast);
+    // `gossip` sends a message to a few peers at random.
+    crash_guard(gateway_context& context, broadcast_function broadcast,
+                broadcast_function gossip);
+
+    // The part of the guard for prompt parts that crash engines in any request.
+    prompt_part_guard& prompt_parts() { return prompt_parts_; }
 
     // Returns whether the request may be sent, is a suspect or is blocked.
     suspect_status request_suspect_status(http_exchange& exchange);
@@ -44,7 +50,7 @@
     // Applies the crash counts that a peer sent.
     void merge_suspects(const suspects_message& message);
     // Must be called periodically.
-    void remove_expired_crashes();
+    void run_periodic_work();
 
 private:
     // Returns the fingerprint of the request's content, and computes it at the first use.
@@ -65,6 +71,7 @@
     gateway_context& context_;
     broadcast_function broadcast_;
     crash_detector detector_;
+    prompt_part_guard prompt_parts_;
     // Changed crash counts by fingerprint, and how often each is still to be sent.
     struct announcement
     {
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -153,6 +153,25 @@
             {"crashes", message.crashes}};
 }
 
+json encode_body(const prompt_parts_message& message)
+{
+    json crashes = json::object();
+    for (const auto& [endpoint, parts] : message.crashes)
+        for (const auto& [part, position] : parts)
+            crashes[endpoint.value][part.value] = position;
+    json answered = json::array();
+    for (const prompt_part_id& part : message.answered)
+        answered.push_back(part.value);
+    json blocked = json::object();
+    for (const auto& [part, block] : message.blocked)
+        blocked[part.value] = json::array({block.trials, block.next_trial_in.count()});
+    return {{"kind", "parts"},
+            {"from", message.sender.value},
+            {"crashes", crashes},
+            {"answered", answered},
+            {"blocked", blocked}};
+}
+
 json encode_body(const sync_request_message& message)
 {
     return {{"kind", "ask"},
@@ -262,6 +281,20 @@
     return message;
 }
 
+prompt_parts_message decode_prompt_parts(const json& body)
+{
+    prompt_parts_message message;
+    for (const auto& [endpoint, parts] : body.at("crashes").items())
+        for (const auto& [part, position] : parts.items())
+            message.crashes[{endpoint}][{part}] = position.get<int>();
+    for (const json& part : body.at("answered"))
+        message.answered.push_back({part.get<std::string>()});
+    for (const auto& [part, block] : body.at("blocked").items())
+        message.blocked[{part}] = {block.at(0).get<int>(),
+                                   milliseconds(block.at(1).get<long long>())};
+    return message;
+}
+
 sync_request_message decode_sync_request(const json& body)
 {
     sync_request_message message;
@@ -302,6 +335,8 @@
         return decode_load_request(body);
     if (kind == "suspects")
         return decode_suspects(body);
+    if (kind == "parts")
+        return decode_prompt_parts(body);
     if (kind == "ask")
         return decode_sync_request(body);
     if (kind == "piece")
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -4,6 +4,7 @@
 #include "core/ids.hpp"
 #include "core/records/endpoint_record.hpp"
 #include "policy/fleet/load_time_model.hpp"
+#include "policy/fleet/prompt_part_crashes.hpp"
 
 #include <map>
 #include <optional>
@@ -128,6 +129,25 @@
     std::map<std::string, int> crashes;
 };
 
+// A blocked part of prompts, as it is told to peers.
+struct announced_block
+{
+    // As in blocked_part.
+    int trials = 0;
+    milliseconds next_trial_in{0};
+};
+
+// What a daemon has seen of prompt parts that may crash engines, and which it blocks.
+struct prompt_parts_message
+{
+    daemon_id sender;
+    // The parts of the sender's requests that a crashed endpoint had not begun to answer.
+    std::map<endpoint_id, positioned_parts> crashes;
+    // Suspects and blocked parts of which a request has been answered.
+    std::vector<prompt_part_id> answered;
+    std::map<prompt_part_id, announced_block> blocked;
+};
+
 // Asks a peer for the store items below a prefix that changed after a revision.
 struct sync_request_message
 {
@@ -158,7 +178,7 @@
 using fleet_message =
     std::variant<heartbeat_message, endpoint_load_message, inventory_message,
                  load_queue_message, load_request_message, suspects_message,
-                 sync_request_message, sync_chunk_message>;
+                 prompt_parts_message, sync_request_message, sync_chunk_message>;
 
 // Encodes a message as MessagePack with a format version.
 std::string encode(const fleet_message& message);
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -17,6 +17,7 @@
 
 #include <csignal>
 #include <filesystem>
+#include <random>
 #include <set>
 
 namespace pollenhaven
@@ -85,7 +86,11 @@
     void dispatch_waiting();
     // Dispatches the requests that wait for an adapter of the inventory.
     void dispatch_waiting_for(const inventory_message& inventory);
+    // The addresses of the peers that are up as far as this daemon knows.
+    std::vector<network_address> reachable_peers() const;
     void broadcast(const fleet_message& message);
+    void send_to_random_peers(const fleet_message& message);
+    void send_to(const std::vector<network_address>& peers, const fleet_message& message);
     void request_load(const load_request_message& request);
     void send_heartbeat();
     // Adds the loads of this daemon, and counts them as reported.
@@ -119,6 +124,8 @@
     store_sync store_sync_;
     gateway_statistics statistics_;
     int heartbeats_sent_ = 0;
+    // Chooses the peers that are told something at random.
+    std::mt19937 random_{std::random_device{}()};
     instant shutdown_began_{};
     bool stopped_listening_ = false;
     std::filesystem::file_time_type settings_modified_at_{};
@@ -140,7 +147,9 @@
           [this](stream_id caller, const http_head& head, const std::string&)
           { handle_operator_request(caller, head); },
           [](stream_id) {}),
-      guard_(context_, [this](const fleet_message& message) { broadcast(message); }),
+      guard_(
+          context_, [this](const fleet_message& message) { broadcast(message); },
+          [this](const fleet_message& message) { send_to_random_peers(message); }),
       claims_(context_),
       flow_(context_, caller_server_, pool_, guard_, claims_,
             [this](const load_request_message& request) { request_load(request); }),
@@ -267,6 +276,8 @@
         engine_controller_.request_load(*request);
     else if (const auto* suspects = std::get_if<suspects_message>(&message))
         guard_.merge_suspects(*suspects);
+    else if (const auto* parts = std::get_if<prompt_parts_message>(&message))
+        guard_.prompt_parts().merge(*parts);
     else if (const auto* sync_request = std::get_if<sync_request_message>(&message))
         store_sync_.on_request(*sync_request);
     else if (const auto* chunk = std::get_if<sync_chunk_message>(&message))
@@ -292,16 +303,38 @@
     ++statistics_.dispatches;
 }
 
+std::vector<network_address> gateway::reachable_peers() const
+{
+    std::vector<network_address> peers;
+    for (const auto& [id, member] : context_.fleet.members)
+        if (id != context_.settings.id && !member.peer_address.empty() &&
+            (member.leased || context_.loop.now() - member.last_message_at < seconds(5)))
+            peers.push_back(member.peer_address);
+    return peers;
+}
+
 void gateway::broadcast(const fleet_message& message)
+{
+    send_to(reachable_peers(), message);
+}
+
+void gateway::send_to_random_peers(const fleet_message& message)
+{
+    constexpr std::size_t peers_per_message = 3;
+    std::vector<network_address> peers = reachable_peers();
+    std::shuffle(peers.begin(), peers.end(), random_);
+    peers.resize(std::min(peers.size(), peers_per_message));
+    send_to(peers, message);
+}
+
+void gateway::send_to(const std::vector<network_address>& peers,
+                      const fleet_message& message)
 {
     const std::string bytes = encode(message);
     std::size_t bytes_sent = 0;
-    for (const auto& [id, member] : context_.fleet.members)
+    for (const network_address& peer : peers)
     {
-        if (id == context_.settings.id || member.peer_address.empty() ||
-            !(member.leased || context_.loop.now() - member.last_message_at < seconds(5)))
-            continue;
-        context_.loop.send_datagram(member.peer_address, bytes);
+        context_.loop.send_datagram(peer, bytes);
         count_message(statistics_.sent, message, bytes.size());
         bytes_sent += bytes.size();
     }
@@ -415,7 +448,7 @@
 {
     context_.loop.schedule_after(housekeeping_interval, [this] { run_housekeeping(); });
     watcher_.remove_gone_endpoints();
-    guard_.remove_expired_crashes();
+    guard_.run_periodic_work();
     claims_.remove_expired_claims();
     store_sync_.run_periodic_work();
     const bool close_all =
--- a/servers/gateway/http_exchange.hpp
+++ b/servers/gateway/http_exchange.hpp
@@ -96,6 +96,9 @@
     // True while an attempt runs that was sent as a suspect: the same content was running
     // when an endpoint crashed.
     bool is_suspect = false;
+    // True if the request was let through to find out whether a blocked part of its
+    // prompt still crashes engines.
+    bool is_part_trial = false;
     // The claim on the idempotency key.
     claim_request claim;
     // The store revision of the claim; 0 if the request holds no claim.
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -65,6 +65,9 @@
         return refuse_or_fail(
             exchange, "request_blocked",
             "requests with this content crashed the endpoints that ran them");
+    if (!guard_.prompt_parts().admits(exchange))
+        return refuse_or_fail(exchange, "prompt_part_blocked",
+                              "a part of the prompt crashed the endpoints that ran it");
     const dispatch_query query = dispatch_query_for(exchange);
     const dispatch_decision decision = choose_endpoint(context_.fleet, query, now);
     if (decision.needs_load || decision.needs_replica)
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -237,7 +237,10 @@
         begin_stream(exchange);
     std::string bytes = std::move(exchange.reader->body);
     exchange.reader->body.clear();
+    const bool had_event = exchange.boundary.has_event;
     track_events(exchange.boundary, bytes);
+    if (exchange.boundary.has_event && !had_event)
+        guard_.prompt_parts().on_answered(exchange);
     const bool ends_well = is_complete && may_end_here(exchange);
     if (is_complete)
         log_stream_end(exchange);
--- a/tests/contract/crash_guard_test.cpp
+++ b/tests/contract/crash_guard_test.cpp
@@ -28,7 +28,9 @@
     guard_fixture()
         : context(settings(),
                   plugin_registry<platform_dialect>::instance().make("fleet", "")),
-          guard(context, [this](const fleet_message& message) { on_sent(message); })
+          guard(
+              context, [this](const fleet_message& message) { on_sent(message); },
+              [](const fleet_message&) {})
     {
     }
 
--- a/tests/contract/fleet_wire_test.cpp
+++ b/tests/contract/fleet_wire_test.cpp
@@ -167,6 +167,17 @@
         decode(encode(suspects_message{{"daemon-1"}, {{"print", 2}}}));
     BOOST_TEST(std::get<suspects_message>(decoded_suspects).crashes.at("print") == 2);
 
+    const fleet_message decoded_parts =
+        decode(encode(prompt_parts_message{{"daemon-1"},
+                                           {{{"i-1"}, {{{"part"}, 2}}}},
+                                           {{"answered"}},
+                                           {{{"blocked"}, {1, milliseconds(50)}}}}));
+    const auto& parts = std::get<prompt_parts_message>(decoded_parts);
+    BOOST_TEST(parts.crashes.at({"i-1"}).at({"part"}) == 2);
+    BOOST_TEST(parts.answered.front().value == "answered");
+    BOOST_TEST(parts.blocked.at({"blocked"}).trials == 1);
+    BOOST_TEST(parts.blocked.at({"blocked"}).next_trial_in.count() == 50);
+
     const fleet_message decoded_sync_request =
         decode(encode(sync_request_message{{"daemon-1"}, {"127.0.0.1:1"}, "op/", {7}}));
     BOOST_TEST(std::get<sync_request_message>(decoded_sync_request).reply_to.value ==
--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -166,13 +166,14 @@
                   ++disconnected_callers;
                   flow.on_caller_disconnected(caller);
               }),
-          guard(context, [](const fleet_message&) {}), claims(context),
-          flow(context, callers, pool, guard, claims,
-               [this](const load_request_message& load)
-               {
-                   load_requests.push_back(load);
-                   on_load_request();
-               }),
+          guard(
+              context, [](const fleet_message&) {}, [](const fleet_message&) {}),
+          claims(context), flow(context, callers, pool, guard, claims,
+                                [this](const load_request_message& load)
+                                {
+                                    load_requests.push_back(load);
+                                    on_load_request();
+                                }),
           first(context.loop), second(context.loop)
     {
         callers.listen(address);
--- a/tests/policy/request_policy_test.cpp
+++ b/tests/policy/request_policy_test.cpp
@@ -174,12 +174,12 @@
 {
     crash_detector detector;
     const instant now{seconds(100)};
-    record_cut_off(detector, {"i-1"}, "content", now);
+    record_cut_off(detector, {"i-1"}, {"content", now, {}});
     BOOST_TEST(record_endpoint_lost(detector, {"i-2"}, now).empty());
     BOOST_TEST(record_endpoint_lost(detector, {"i-1"}, now + seconds(30)).empty());
     BOOST_TEST(
         (suspect_status_of(detector.history, "content", now) == suspect_status::allowed));
-    record_cut_off(detector, {"i-1"}, "content", now);
+    record_cut_off(detector, {"i-1"}, {"content", now, {}});
     BOOST_TEST(!record_endpoint_lost(detector, {"i-1"}, now + seconds(1)).empty());
     BOOST_TEST((suspect_status_of(detector.history, "content", now) ==
                 suspect_status::suspected));
