--- a/policy/fleet/prompt_part_crashes.cpp
+++ b/policy/fleet/prompt_part_crashes.cpp
@@ -133,7 +133,8 @@
             return crash;
     if (history.crashes.size() >= max_crash_records)
         history.crashes.erase(history.crashes.begin());
-    return history.crashes.emplace_back(endpoint, now);
+    history.crashes.push_back({endpoint, now, {}});
+    return history.crashes.back();
 }
 
 bool is_suspect(const part_crash_history& history, const prompt_part_id& part)
