--- a/servers/gateway/prompt_part_guard.cpp
+++ b/servers/gateway/prompt_part_guard.cpp
@@ -10,6 +10,9 @@
 
 constexpr int broadcast_count = 3;
 constexpr milliseconds broadcast_interval{300};
+// A daemon that was paused doesn't repeat a crash later than this, since it would count
+// as another one.
+constexpr milliseconds max_announcement_age{1000};
 constexpr milliseconds gossip_interval{1000};
 
 } // namespace
@@ -56,7 +59,7 @@
         context_.log.write(
             "prompt part cleared",
             {{"part", part.value}, {"request", exchange.request.id.value}});
-        announce({announcement::subject::answered, part, 0, {}, broadcast_count});
+        announce({announcement::subject::answered, part});
     }
 }
 
@@ -65,8 +68,7 @@
 {
     record_part_crash(history_, endpoint, parts, context_.loop.now());
     for (const auto& [part, position] : parts)
-        announce(
-            {announcement::subject::crash, part, position, endpoint, broadcast_count});
+        announce({announcement::subject::crash, part, position, endpoint});
     schedule_evaluation();
 }
 
@@ -80,7 +82,7 @@
     {
         const bool is_new = !history_.blocked.contains(part);
         if (!adopt_block(history_, part, {block.trials, now + block.next_trial_in}, now))
-            announce({announcement::subject::answered, part, 0, {}, broadcast_count});
+            announce({announcement::subject::answered, part});
         else if (is_new)
             context_.log.write("prompt part blocked",
                                {{"part", part.value}, {"told_by", message.sender.value}});
@@ -107,7 +109,7 @@
 
 void prompt_part_guard::announce_block(const prompt_part_id& part)
 {
-    announce({announcement::subject::blocked, part, 0, {}, broadcast_count});
+    announce({announcement::subject::blocked, part});
 }
 
 void prompt_part_guard::announce(announcement item)
@@ -119,6 +121,8 @@
                           return other.part == item.part &&
                                  other.about != announcement::subject::crash;
                       });
+    item.sends_left = broadcast_count;
+    item.made_at = context_.loop.now();
     announcements_.push_back(std::move(item));
     if (send_scheduled_)
         return;
@@ -149,6 +153,13 @@
 
 void prompt_part_guard::send_announcements(int min_sends_left, int max_sends_left)
 {
+    const instant now = context_.loop.now();
+    std::erase_if(announcements_,
+                  [&](const announcement& item)
+                  {
+                      return item.about == announcement::subject::crash &&
+                             now - item.made_at > max_announcement_age;
+                  });
     prompt_parts_message message;
     message.sender = context_.settings.id;
     bool is_empty = true;
--- a/servers/gateway/prompt_part_guard.hpp
+++ b/servers/gateway/prompt_part_guard.hpp
@@ -53,12 +53,14 @@
         int position = 0;
         endpoint_id endpoint;
         int sends_left = 0;
+        instant made_at{};
     };
 
     // Blocks the parts that the evidence suffices for, once all of it has arrived.
     void schedule_evaluation();
     void evaluate();
     bool is_trial(const http_exchange& exchange, const prompt_part_id& part) const;
+    // Tells the peers. The item's sends and time are set here.
     void announce(announcement item);
     void announce_block(const prompt_part_id& part);
     // Sends the announcements of which this many sends are left.
--- a/tests/contract/prompt_part_guard_test.cpp
+++ b/tests/contract/prompt_part_guard_test.cpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <memory>
 #include <random>
+#include <thread>
 
 using namespace pollenhaven;
 
@@ -151,6 +152,21 @@
     BOOST_TEST(all_admit(parts, true));
 }
 
+// Guards against a sound part that is blocked because a daemon was paused and repeats its
+// report of a crash so late that it counts as another one.
+BOOST_FIXTURE_TEST_CASE(a_paused_daemon_does_not_report_a_crash_again, guards_fixture)
+{
+    for (int i = 0; i < 3; ++i)
+        add_daemon();
+    daemons[0]->guard.on_crash({"i-0"}, {{{"part"}, 0}});
+    run_until([] { return false; }, milliseconds(230));
+    daemons[1]->guard.on_crash({"i-1"}, {{{"part"}, 0}});
+    run_until([] { return false; }, milliseconds(20));
+    std::this_thread::sleep_for(milliseconds(1700));
+    run_until([] { return false; }, milliseconds(800));
+    BOOST_TEST(all_admit({{"part"}}, true));
+}
+
 // Guards against control traffic that grows with the number of engines that crash
 // together.
 BOOST_FIXTURE_TEST_CASE(
