Send watches and listings again that were sent before or during a silence of the store

Fix: an answer that ends a second without any is noted, and calls of the watches sent before it are sent again on new connections within 250 ms. The answer that a lease has ended counts as one too.

Evidence: a_watch_sent_during_a_silence_of_the_store_is_sent_again_after_it failed before (no change within 2 s). Left open in the issue: a watch whose own connection goes silent while the store was never silent.

--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -143,9 +143,10 @@
     lease_call_pending_ = false;
     if (!result.has_response)
         return;
+    if (result.status == status_ok || result.status == status_not_found)
+        record_store_response(context_);
     if (result.status == status_ok)
     {
-        record_store_response(context_);
         if (member_entry_written_)
             confirm_lease(lease_validity_, sent);
         else
--- a/servers/gateway/gateway_context.hpp
+++ b/servers/gateway/gateway_context.hpp
@@ -48,16 +48,24 @@
     instant last_store_response{};
     // When the last store outage ended; zero if there was none.
     instant store_outage_ended{};
+    // When the store last responded after it had been silent towards this daemon for
+    // longer than max_store_response_gap; zero if it never was.
+    instant store_silence_ended{};
 };
 
+// Longer than the interval between two lease renewals, of which one may get no response.
+constexpr milliseconds max_store_response_gap{1000};
+
 // Records a response of the store. One that follows a gap of more than
 // store_outage_threshold ends an outage.
 inline void record_store_response(gateway_context& context)
 {
     const instant now = context.loop.now();
-    if (context.last_store_response != instant{} &&
-        now - context.last_store_response > store_outage_threshold)
+    const bool is_first = context.last_store_response == instant{};
+    if (!is_first && now - context.last_store_response > store_outage_threshold)
         context.store_outage_ended = now;
+    if (!is_first && now - context.last_store_response > max_store_response_gap)
+        context.store_silence_ended = now;
     context.last_store_response = now;
 }
 
--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -17,6 +17,8 @@
 // dead.
 constexpr milliseconds watch_call_margin{700};
 constexpr milliseconds first_retry_delay{100};
+// Spreads the calls that all daemons send again after a silence of the store.
+constexpr milliseconds pending_call_check_interval{250};
 constexpr int max_doublings = 3;
 
 } // namespace
@@ -27,6 +29,33 @@
       changed_(std::move(changed)), client_(context.loop, context.settings.store_address)
 {
     read_page("");
+    check_pending_call();
+}
+
+void store_watch::send(const outgoing_call& call, milliseconds timeout,
+                       http_client::completion_handler done)
+{
+    call_sent_at_ = context_.loop.now();
+    client_.call(call.bytes, timeout,
+                 [this, done = std::move(done)](const http_result& result)
+                 {
+                     call_sent_at_.reset();
+                     done(result);
+                 });
+}
+
+void store_watch::check_pending_call()
+{
+    context_.loop.schedule_after(pending_call_check_interval,
+                                 [this] { check_pending_call(); });
+    if (!call_sent_at_ || *call_sent_at_ >= context_.store_silence_ended)
+        return;
+    context_.log.write("store call repeated", {{"prefix", prefix_}});
+    client_.cancel_all();
+    if (loaded_)
+        wait_for_changes();
+    else
+        read_page("");
 }
 
 void store_watch::on_store_response()
@@ -63,8 +92,8 @@
     }
     const milliseconds timeout =
         first_page_timeout * (1 << std::min(failures_, max_doublings));
-    client_.call(context_.dialect.range_call(prefix_, after).bytes, timeout,
-                 [this](const http_result& result) { on_page(result); });
+    send(context_.dialect.range_call(prefix_, after), timeout,
+         [this](const http_result& result) { on_page(result); });
 }
 
 void store_watch::on_page(const http_result& result)
@@ -123,10 +152,9 @@
 
 void store_watch::wait_for_changes()
 {
-    client_.call(
-        context_.dialect.watch_call(prefix_, known_revision_, timing_.wait).bytes,
-        timing_.wait + watch_call_margin,
-        [this](const http_result& result) { on_changes(result); });
+    send(context_.dialect.watch_call(prefix_, known_revision_, timing_.wait),
+         timing_.wait + watch_call_margin,
+         [this](const http_result& result) { on_changes(result); });
 }
 
 void store_watch::on_changes(const http_result& result)
--- a/servers/gateway/store_watch.hpp
+++ b/servers/gateway/store_watch.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace pollenhaven
@@ -56,6 +57,12 @@
     void on_changes(const http_result& result);
     void apply(const store_item& item);
     void retry(const std::string& reason, int status);
+    // Sends a call to the store, whose response `done` evaluates.
+    void send(const outgoing_call& call, milliseconds timeout,
+              http_client::completion_handler done);
+    // Sends the pending call again on a new connection if its response may never come,
+    // although the store responds to other calls.
+    void check_pending_call();
     void on_store_response();
 
     gateway_context& context_;
@@ -75,6 +82,8 @@
     store_revision known_revision_;
     bool loaded_ = false;
     int failures_ = 0;
+    // When the pending call was sent; none if no call is pending.
+    std::optional<instant> call_sent_at_;
 };
 
 } // namespace pollenhaven
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <map>
+
 using namespace pollenhaven;
 
 namespace
@@ -16,6 +18,11 @@
     network_address address{"127.0.0.1:" + std::to_string(harness::free_port())};
     int unresponsive_connections;
     int connections = 0;
+    // If set, each connection ignores its calls beyond this number, and all calls but the
+    // first ones get a change.
+    int listings = 0;
+    int ignored_calls = 0;
+    std::map<std::uint64_t, int> calls;
 
     initially_unresponsive_store(event_loop& shared_loop, int unresponsive)
         : loop(shared_loop), unresponsive_connections(unresponsive)
@@ -31,7 +38,15 @@
         handlers.readable = [this](stream_id from)
         {
             loop.input(from).clear();
-            const std::string body = R"({"items":[],"events":[],"currentRev":7})";
+            if (listings > 0 && ++calls[from.value] > listings)
+            {
+                ++ignored_calls;
+                return;
+            }
+            const std::string body =
+                connections > 1 && listings > 0
+                    ? R"({"events":[{"key":"op/a","value":"","revision":9}],"currentRev":9})"
+                    : R"({"items":[],"events":[],"currentRev":7})";
             loop.send(from, "HTTP/1.1 200 OK\r\nContent-Length: " +
                                 std::to_string(body.size()) + "\r\n\r\n" + body);
         };
@@ -70,4 +85,36 @@
     BOOST_TEST((boot_clock::now() - start < milliseconds(1200)));
 }
 
+// Guards against a configuration that comes late to a daemon whose watch was sent while
+// the store was silent: the store never answers it, but answers other calls again
+// (CONFIG).
+BOOST_AUTO_TEST_CASE(a_watch_sent_during_a_silence_of_the_store_is_sent_again_after_it)
+{
+    // The users' bound for a configuration to be in force.
+    constexpr milliseconds bound{2000};
+    gateway_context context(
+        settings_for({"127.0.0.1:1"}),
+        plugin_registry<platform_dialect>::instance().make("fleet", ""));
+    initially_unresponsive_store store(context.loop, 0);
+    store.listings = 1;
+    context.settings.store_address = store.address;
+    int changes = 0;
+    store_watch watch(context, "op/", watch_timing{},
+                      [&](const store_item&) { ++changes; });
+    const auto run_until = [&](const std::function<bool()>& done, milliseconds limit)
+    {
+        const instant end = boot_clock::now() + limit;
+        context.loop.schedule(end, [] {});
+        context.loop.run([&] { return done() || boot_clock::now() > end; });
+    };
+    run_until([&] { return store.ignored_calls == 1; }, bound);
+    BOOST_REQUIRE(watch.is_loaded());
+    // No call of the daemon is answered for two seconds, then one of another connection
+    // is.
+    context.last_store_response = context.loop.now() - seconds(2);
+    record_store_response(context);
+    run_until([&] { return changes > 0; }, bound);
+    BOOST_TEST(changes == 1);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
