--- a/tests/contract/event_loop_test.cpp
+++ b/tests/contract/event_loop_test.cpp
@@ -3,6 +3,9 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <memory>
+#include <optional>
+
 using namespace pollenhaven;
 
 BOOST_AUTO_TEST_SUITE(event_loops)
@@ -38,4 +41,47 @@
     BOOST_TEST(to_milliseconds(fired_at - began).count() < max_timer_delay.count());
 }
 
+// Guards against a response without a length that looks complete because its daemon's
+// process ended: the kernel closes the connection as the loop's end does here.
+BOOST_AUTO_TEST_CASE(a_stream_that_resets_on_close_is_reset_when_its_loop_ends)
+{
+    for (const bool resets : {true, false})
+    {
+        const network_address address{"127.0.0.1:" +
+                                      std::to_string(harness::free_port())};
+        std::unique_ptr<event_loop> server = std::make_unique<event_loop>();
+        server->listen(address,
+                       [&](stream_id id)
+                       {
+                           server->set_reset_on_close(id, resets);
+                           server->send(id, "bytes");
+                       });
+        event_loop client;
+        std::string received;
+        std::optional<stream_end> end;
+        stream_handlers handlers;
+        handlers.readable = [&](stream_id id) { received = client.input(id); };
+        handlers.ended = [&](stream_id, stream_end ended) { end = ended; };
+        client.connect(address, std::move(handlers));
+        const instant limit = boot_clock::now() + seconds(2);
+        const auto run = [&](event_loop& loop)
+        {
+            int iterations = 0;
+            loop.schedule_after(milliseconds(1), [] {});
+            loop.run([&] { return iterations++ > 0; });
+        };
+        while (received.empty() && boot_clock::now() < limit)
+        {
+            run(*server);
+            run(client);
+        }
+        server.reset();
+        while (!end && boot_clock::now() < limit)
+            run(client);
+        BOOST_TEST(received == "bytes");
+        BOOST_REQUIRE(end.has_value());
+        BOOST_TEST((*end == (resets ? stream_end::failed : stream_end::finished)));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
