Send the watch of the operators' entries again if peers know a newer change

A heartbeat now names the newest change that its sender's watch has received; a daemon that is behind it for 500 ms, with a call a second old, sends its watch again on a new connection, and waits twice as long for the next repetition.

Ruled out: shorter watches (the store counts and prices each call), TCP keep-alive (a middlebox may answer it).

--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -96,6 +96,8 @@
                 message.load_times.loads_at_full_speed}}};
     if (!message.has_endpoint_loads)
         body["partial"] = true;
+    if (message.operator_revision.value != 0)
+        body["rev"] = message.operator_revision.value;
     return body;
 }
 
@@ -206,6 +208,7 @@
     message.store_silence = milliseconds(body.at("silence").get<long long>());
     message.endpoint_loads = decode_endpoint_loads(body.at("use"));
     message.has_endpoint_loads = !body.contains("partial");
+    message.operator_revision = {body.value("rev", std::uint64_t{0})};
     // Daemons of an earlier release don't send observations.
     if (body.contains("loads"))
         message.load_observations = decode_observations(body.at("loads"));
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -38,6 +38,8 @@
     incarnation_id incarnation;
     bool ready = false;
     bool leaving = false;
+    // The newest change of the operators' entries that the sender knows from the store.
+    store_revision operator_revision;
     // Time since the store last responded to the sender.
     milliseconds store_silence{0};
     // The sender's load, by endpoint. Endpoints without load are left out. Some
--- a/servers/gateway/fleet_watcher.hpp
+++ b/servers/gateway/fleet_watcher.hpp
@@ -26,6 +26,8 @@
                   endpoint_handler gone);
 
     // The watches, for synchronisation with peers.
+    // The watch of what operators write.
+    store_watch& operator_watch() { return operator_watch_; }
     std::vector<store_watch*> watches() { return {&operator_watch_, &endpoint_watch_}; }
 
     // Removes endpoints that have been gone for some time. Must be called periodically.
--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -19,6 +19,11 @@
 constexpr milliseconds first_retry_delay{100};
 // Spreads the calls that all daemons send again after a silence of the store.
 constexpr milliseconds pending_call_check_interval{250};
+// A change reaches all daemons within this time, unless the store is slow.
+constexpr milliseconds change_propagation_time{500};
+// A call isn't repeated earlier than this because of what peers know, and after twice the
+// time each time.
+constexpr milliseconds min_call_age{1000};
 constexpr int max_doublings = 3;
 
 } // namespace
@@ -48,9 +53,17 @@
 {
     context_.loop.schedule_after(pending_call_check_interval,
                                  [this] { check_pending_call(); });
-    if (!call_sent_at_ || *call_sent_at_ >= context_.store_silence_ended)
+    if (!call_sent_at_)
         return;
-    context_.log.write("store call repeated", {{"prefix", prefix_}});
+    const bool is_behind = is_behind_peers();
+    if (!is_behind && *call_sent_at_ >= context_.store_silence_ended)
+        return;
+    if (is_behind)
+        ++repeated_calls_;
+    context_.log.write(
+        "store call repeated",
+        {{"prefix", prefix_},
+         {"reason", is_behind ? "peers know a newer change" : "the store was silent"}});
     client_.cancel_all();
     if (loaded_)
         wait_for_changes();
@@ -58,8 +71,26 @@
         read_page("");
 }
 
+void store_watch::on_peer_change(store_revision revision)
+{
+    if (revision <= peer_change_)
+        return;
+    peer_change_ = revision;
+    peer_change_heard_at_ = context_.loop.now();
+}
+
+bool store_watch::is_behind_peers() const
+{
+    const instant now = context_.loop.now();
+    return loaded_ && peer_change_ > known_revision_ &&
+           now - peer_change_heard_at_ >= change_propagation_time &&
+           now - *call_sent_at_ >=
+               min_call_age * (1 << std::min(repeated_calls_, max_doublings));
+}
+
 void store_watch::on_store_response()
 {
+    repeated_calls_ = 0;
     record_store_response(context_);
     failures_ = 0;
 }
@@ -109,6 +140,7 @@
         for (const store_item& item : page.items)
         {
             listed_revisions_[item.key] = item.revision;
+            newest_change_ = std::max(newest_change_, item.revision);
             apply(item);
         }
         if (page.more && !page.items.empty())
@@ -172,7 +204,10 @@
         const store_page page = context_.dialect.read_watch(result.body);
         on_store_response();
         for (const store_item& item : page.items)
+        {
+            newest_change_ = std::max(newest_change_, item.revision);
             apply(item);
+        }
         known_revision_ = std::max(known_revision_, page.current);
         if (page.items.empty() || timing_.pause.count() == 0)
             return wait_for_changes();
--- a/servers/gateway/store_watch.hpp
+++ b/servers/gateway/store_watch.hpp
@@ -45,6 +45,11 @@
     const std::string& prefix() const { return prefix_; }
     // All changes up to this revision are known.
     store_revision known_revision() const { return known_revision_; }
+    // The revision of the newest change that a response of the store contained.
+    store_revision newest_change() const { return newest_change_; }
+    // Must be called with the newest change that a peer's watch of the prefix has
+    // received.
+    void on_peer_change(store_revision revision);
     // Applies a change that a peer sent, unless the key exists with the same or a newer
     // revision.
     void apply_from_peer(const store_item& item) { apply(item); }
@@ -63,6 +68,9 @@
     // Sends the pending call again on a new connection if its response may never come,
     // although the store responds to other calls.
     void check_pending_call();
+    // Whether peers have known of a newer change for so long that the pending call must
+    // have been lost.
+    bool is_behind_peers() const;
     void on_store_response();
 
     gateway_context& context_;
@@ -84,6 +92,12 @@
     int failures_ = 0;
     // When the pending call was sent; none if no call is pending.
     std::optional<instant> call_sent_at_;
+    store_revision newest_change_;
+    // The newest change that a peer has reported, and when this daemon first heard of it.
+    store_revision peer_change_;
+    instant peer_change_heard_at_{};
+    // Calls sent again for that reason since the last response.
+    int repeated_calls_ = 0;
 };
 
 } // namespace pollenhaven
--- a/tests/contract/fleet_wire_test.cpp
+++ b/tests/contract/fleet_wire_test.cpp
@@ -122,9 +122,11 @@
     heartbeat.store_silence = milliseconds(1234);
     heartbeat.endpoint_loads[{"i-1"}] = {3, 2400, {{{"base/a1"}, 2}}, {{{"base/a2"}, 5}}};
     heartbeat.load_observations = {{70, milliseconds(310), true}};
+    heartbeat.operator_revision = {42};
     const fleet_message decoded = decode(encode(heartbeat));
     const auto& decoded_heartbeat = std::get<heartbeat_message>(decoded);
     BOOST_TEST(decoded_heartbeat.sender.value == "daemon-1");
+    BOOST_TEST(decoded_heartbeat.operator_revision.value == 42U);
     BOOST_TEST(decoded_heartbeat.store_silence.count() == 1234);
     BOOST_TEST(decoded_heartbeat.endpoint_loads.at({"i-1"}).pending_prefill_tokens ==
                2400);
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -54,6 +54,14 @@
     }
 };
 
+void run_until(gateway_context& context, const std::function<bool()>& done,
+               milliseconds limit)
+{
+    const instant end = boot_clock::now() + limit;
+    context.loop.schedule(end, [] {});
+    context.loop.run([&] { return done() || boot_clock::now() > end; });
+}
+
 gateway_settings settings_for(const network_address& store)
 {
     gateway_settings settings;
@@ -101,20 +109,50 @@
     int changes = 0;
     store_watch watch(context, "op/", watch_timing{},
                       [&](const store_item&) { ++changes; });
-    const auto run_until = [&](const std::function<bool()>& done, milliseconds limit)
-    {
-        const instant end = boot_clock::now() + limit;
-        context.loop.schedule(end, [] {});
-        context.loop.run([&] { return done() || boot_clock::now() > end; });
-    };
-    run_until([&] { return store.ignored_calls == 1; }, bound);
+    run_until(
+        context, [&] { return store.ignored_calls == 1; }, bound);
     BOOST_REQUIRE(watch.is_loaded());
     // No call of the daemon is answered for two seconds, then one of another connection
     // is.
     context.last_store_response = context.loop.now() - seconds(2);
     record_store_response(context);
-    run_until([&] { return changes > 0; }, bound);
+    run_until(
+        context, [&] { return changes > 0; }, bound);
+    BOOST_TEST(changes == 1);
+}
+
+// Guards against a configuration that comes late to a daemon whose watch waits on a
+// connection that went silent while the store answers everything else (CONFIG). Its peers
+// know better.
+BOOST_AUTO_TEST_CASE(a_watch_is_sent_again_if_peers_know_a_newer_change)
+{
+    constexpr milliseconds bound{2000};
+    gateway_context context(
+        settings_for({"127.0.0.1:1"}),
+        plugin_registry<platform_dialect>::instance().make("fleet", ""));
+    initially_unresponsive_store store(context.loop, 0);
+    store.listings = 1;
+    context.settings.store_address = store.address;
+    int changes = 0;
+    store_watch watch(context, "op/", watch_timing{},
+                      [&](const store_item&) { ++changes; });
+    run_until(
+        context, [&] { return store.ignored_calls == 1; }, bound);
+    watch.on_peer_change({7});
+    run_until(
+        context, [] { return false; }, milliseconds(700));
+    BOOST_TEST(store.connections == 1);
+    watch.on_peer_change({9});
+    run_until(
+        context, [&] { return changes > 0; }, bound);
     BOOST_TEST(changes == 1);
+    BOOST_TEST(watch.newest_change().value == 9U);
+    // One who claims to know more than the store has costs a call now and then, not a
+    // flood.
+    watch.on_peer_change({1000});
+    run_until(
+        context, [] { return false; }, seconds(4));
+    BOOST_TEST(store.connections <= 5);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
