--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include <map>
+#include <optional>
 
 using namespace pollenhaven;
 
@@ -54,14 +55,6 @@
     }
 };
 
-void run_until(gateway_context& context, const std::function<bool()>& done,
-               milliseconds limit)
-{
-    const instant end = boot_clock::now() + limit;
-    context.loop.schedule(end, [] {});
-    context.loop.run([&] { return done() || boot_clock::now() > end; });
-}
-
 gateway_settings settings_for(const network_address& store)
 {
     gateway_settings settings;
@@ -70,6 +63,38 @@
     return settings;
 }
 
+// A daemon's watch whose first connection to the store has gone silent after the listing.
+// Each later one gets a change, and is silent then.
+struct silenced_watch
+{
+    gateway_context context{
+        settings_for({"127.0.0.1:1"}),
+        plugin_registry<platform_dialect>::instance().make("fleet", "")};
+    initially_unresponsive_store store{context.loop, 0};
+    int changes = 0;
+    std::optional<store_watch> watch;
+
+    silenced_watch()
+    {
+        store.listings = 1;
+        context.settings.store_address = store.address;
+        watch.emplace(context, "op/", watch_timing{},
+                      [this](const store_item&) { ++changes; });
+        run_until([this] { return store.ignored_calls == 1; }, seconds(2));
+        BOOST_REQUIRE(watch->is_loaded());
+    }
+
+    void run_until(const std::function<bool()>& done, milliseconds limit)
+    {
+        const instant end = boot_clock::now() + limit;
+        context.loop.schedule(end, [] {});
+        context.loop.run([&] { return done() || boot_clock::now() > end; });
+    }
+};
+
+// The users' bound for a configuration to be in force.
+constexpr milliseconds configuration_bound{2000};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(store_watch_tests)
@@ -96,62 +121,34 @@
 // Guards against a configuration that comes late to a daemon whose watch was sent while
 // the store was silent: the store never answers it, but answers other calls again
 // (CONFIG).
-BOOST_AUTO_TEST_CASE(a_watch_sent_during_a_silence_of_the_store_is_sent_again_after_it)
+BOOST_FIXTURE_TEST_CASE(a_watch_sent_during_a_silence_of_the_store_is_sent_again_after_it,
+                        silenced_watch)
 {
-    // The users' bound for a configuration to be in force.
-    constexpr milliseconds bound{2000};
-    gateway_context context(
-        settings_for({"127.0.0.1:1"}),
-        plugin_registry<platform_dialect>::instance().make("fleet", ""));
-    initially_unresponsive_store store(context.loop, 0);
-    store.listings = 1;
-    context.settings.store_address = store.address;
-    int changes = 0;
-    store_watch watch(context, "op/", watch_timing{},
-                      [&](const store_item&) { ++changes; });
-    run_until(
-        context, [&] { return store.ignored_calls == 1; }, bound);
-    BOOST_REQUIRE(watch.is_loaded());
     // No call of the daemon is answered for two seconds, then one of another connection
     // is.
     context.last_store_response = context.loop.now() - seconds(2);
     record_store_response(context);
-    run_until(
-        context, [&] { return changes > 0; }, bound);
+    run_until([this] { return changes > 0; }, configuration_bound);
     BOOST_TEST(changes == 1);
 }
 
 // Guards against a configuration that comes late to a daemon whose watch waits on a
 // connection that went silent while the store answers everything else (CONFIG). Its peers
 // know better.
-BOOST_AUTO_TEST_CASE(a_watch_is_sent_again_if_peers_know_a_newer_change)
+BOOST_FIXTURE_TEST_CASE(a_watch_is_sent_again_if_peers_know_a_newer_change,
+                        silenced_watch)
 {
-    constexpr milliseconds bound{2000};
-    gateway_context context(
-        settings_for({"127.0.0.1:1"}),
-        plugin_registry<platform_dialect>::instance().make("fleet", ""));
-    initially_unresponsive_store store(context.loop, 0);
-    store.listings = 1;
-    context.settings.store_address = store.address;
-    int changes = 0;
-    store_watch watch(context, "op/", watch_timing{},
-                      [&](const store_item&) { ++changes; });
-    run_until(
-        context, [&] { return store.ignored_calls == 1; }, bound);
-    watch.on_peer_change({7});
-    run_until(
-        context, [] { return false; }, milliseconds(700));
+    watch->on_peer_change({7});
+    run_until([] { return false; }, milliseconds(700));
     BOOST_TEST(store.connections == 1);
-    watch.on_peer_change({9});
-    run_until(
-        context, [&] { return changes > 0; }, bound);
+    watch->on_peer_change({9});
+    run_until([this] { return changes > 0; }, configuration_bound);
     BOOST_TEST(changes == 1);
-    BOOST_TEST(watch.newest_change().value == 9U);
-    // One who claims to know more than the store has costs a call now and then, not a
+    BOOST_TEST(watch->newest_change().value == 9U);
+    // A peer that claims to know more than the store has costs a call now and then, no
     // flood.
-    watch.on_peer_change({1000});
-    run_until(
-        context, [] { return false; }, seconds(4));
+    watch->on_peer_change({1000});
+    run_until([] { return false; }, seconds(4));
     BOOST_TEST(store.connections <= 5);
 }
 
