--- a/main/control/explain_log.cpp
+++ b/main/control/explain_log.cpp
@@ -72,6 +72,8 @@
         {"retry_budget", "endpoints refused it and the shared budget for sending again "
                          "was used up"},
         {"no_configuration", "the daemon had no configuration yet"},
+        {"request_blocked", "requests with its content crashed endpoints"},
+        {"prompt_part_blocked", "a part of its prompt crashed engines"},
         {"deadline", "its time ran out before it was sent"}};
     const std::string reason = field_text(line, "reason");
     const auto known = reasons.find(reason);
--- a/policy/fleet/prompt_part_crashes.cpp
+++ b/policy/fleet/prompt_part_crashes.cpp
@@ -54,9 +54,9 @@
     instant last_crash_at{};
 };
 
-auto rank(const part_score& score)
+std::tuple<int, int, int> rank(const part_score& score)
 {
-    return std::tie(score.unexplained, score.crashes, score.position);
+    return {score.unexplained, score.crashes, score.position};
 }
 
 std::vector<part_score> score_parts(const part_crash_history& history, instant now)
--- a/tests/contract/explain_log_test.cpp
+++ b/tests/contract/explain_log_test.cpp
@@ -79,6 +79,9 @@
           conclusion_case{R"({"event":"refused","reason":"load_too_late","age_ms":7,
                      "load_engine":"i-1","queued_loads":4})",
                           "engine i-1 had 4 loads"},
+          conclusion_case{
+              R"({"event":"refused","reason":"prompt_part_blocked","age_ms":7})",
+              "a part of its prompt crashed engines"},
           conclusion_case{R"({"event":"failed","reason":"deadline","age_ms":9})",
                           "may have run"},
           conclusion_case{R"({"event":"caller gone","age_ms":9})",
