--- a/policy/fleet/crash_detector.cpp
+++ b/policy/fleet/crash_detector.cpp
@@ -38,7 +38,7 @@
         int position = 0;
         for (const prompt_part_id& part : request.unanswered_parts)
         {
-            if (is_recent(request, now))
+            if (is_recent(request, now) && parts.size() < max_parts_per_crash)
                 parts[part] = std::max(parts[part], position);
             ++position;
         }
--- a/policy/fleet/prompt_part_crashes.cpp
+++ b/policy/fleet/prompt_part_crashes.cpp
@@ -33,7 +33,6 @@
 // A block ends if no request asks for the part for this long after a trial is due.
 constexpr milliseconds unused_block_lifetime{3'600'000};
 constexpr std::size_t max_crash_records = 128;
-constexpr std::size_t max_parts_per_crash = 128;
 constexpr std::size_t max_answered_parts = 1024;
 constexpr std::size_t max_blocked_parts = 64;
 
--- a/policy/fleet/prompt_part_crashes.hpp
+++ b/policy/fleet/prompt_part_crashes.hpp
@@ -15,6 +15,9 @@
 // A crash counts once its evidence has had this time to arrive from all daemons.
 inline constexpr milliseconds evidence_delay{60};
 
+// The most parts that are kept of one crash.
+inline constexpr std::size_t max_parts_per_crash = 128;
+
 // Parts of prompts, each with its position, counted from 0.
 using positioned_parts = std::map<prompt_part_id, int>;
 
--- a/servers/gateway/prompt_part_guard.cpp
+++ b/servers/gateway/prompt_part_guard.cpp
@@ -14,6 +14,8 @@
 // as another one.
 constexpr milliseconds max_announcement_age{1000};
 constexpr milliseconds gossip_interval{1000};
+// A datagram with this many items fits into a few network packets.
+constexpr std::size_t max_items_per_message = 100;
 
 } // namespace
 
@@ -60,6 +62,8 @@
             "prompt part cleared",
             {{"part", part.value}, {"request", exchange.request.id.value}});
         announce({announcement::subject::answered, part});
+        // If the part was blocked, another one explains its crashes.
+        schedule_evaluation();
     }
 }
 
@@ -87,7 +91,7 @@
             context_.log.write("prompt part blocked",
                                {{"part", part.value}, {"told_by", message.sender.value}});
     }
-    if (!message.crashes.empty())
+    if (!message.crashes.empty() || !message.answered.empty())
         schedule_evaluation();
 }
 
@@ -162,26 +166,36 @@
                   });
     prompt_parts_message message;
     message.sender = context_.settings.id;
-    bool is_empty = true;
+    std::size_t items = 0;
     for (announcement& item : announcements_)
     {
         if (item.sends_left < min_sends_left || item.sends_left > max_sends_left)
             continue;
         --item.sends_left;
-        is_empty = false;
-        if (item.about == announcement::subject::crash)
-            message.crashes[item.endpoint][item.part] = item.position;
-        else if (item.about == announcement::subject::answered)
-            message.answered.push_back(item.part);
-        else
-            add_block(message, item.part);
+        add_item(message, item);
+        if (++items < max_items_per_message)
+            continue;
+        broadcast_(message);
+        message = {context_.settings.id, {}, {}, {}};
+        items = 0;
     }
-    if (!is_empty)
+    if (items > 0)
         broadcast_(message);
     std::erase_if(announcements_,
                   [](const announcement& item) { return item.sends_left == 0; });
 }
 
+void prompt_part_guard::add_item(prompt_parts_message& message,
+                                 const announcement& item) const
+{
+    if (item.about == announcement::subject::crash)
+        message.crashes[item.endpoint][item.part] = item.position;
+    else if (item.about == announcement::subject::answered)
+        message.answered.push_back(item.part);
+    else
+        add_block(message, item.part);
+}
+
 void prompt_part_guard::add_block(prompt_parts_message& message,
                                   const prompt_part_id& part) const
 {
--- a/servers/gateway/prompt_part_guard.hpp
+++ b/servers/gateway/prompt_part_guard.hpp
@@ -66,6 +66,8 @@
     // Sends the announcements of which this many sends are left.
     void send_announcements(int min_sends_left, int max_sends_left);
     void schedule_repetition();
+    void add_item(prompt_parts_message& message, const announcement& item) const;
+    // Adds the block of the part, if it still is blocked.
     void add_block(prompt_parts_message& message, const prompt_part_id& part) const;
     // Tells a few peers all blocks: those that have just started, or couldn't be reached.
     void gossip_blocks();
--- a/tests/contract/fleet_dialect_test.cpp
+++ b/tests/contract/fleet_dialect_test.cpp
@@ -78,6 +78,17 @@
     }
 }
 
+// Guards against a caller whose header takes a multiple of its length in memory.
+BOOST_AUTO_TEST_CASE(the_parts_of_a_prompt_are_bounded)
+{
+    http_head head = request_head();
+    std::string field;
+    for (int part = 0; part < 5000; ++part)
+        field += "a,";
+    head.fields.push_back({"X-Pollenhaven-Prefix-Hash", field});
+    BOOST_TEST(dialect().read_request(head).shared_prompt_parts.size() <= 64U);
+}
+
 BOOST_AUTO_TEST_CASE(a_deadline_that_is_not_an_unsigned_integer_is_rejected)
 {
     for (const char* const malformed : {"soon", "-1", "1.5", "10 ", "0x10"})
--- a/tests/contract/prompt_part_guard_test.cpp
+++ b/tests/contract/prompt_part_guard_test.cpp
@@ -42,6 +42,7 @@
     std::mt19937 random{7};
     double loss = 0;
     std::size_t bytes_sent = 0;
+    std::size_t longest_message = 0;
 
     void add_daemon()
     {
@@ -64,6 +65,7 @@
         receivers.resize(std::min(peers, receivers.size()));
         const std::string bytes = encode(message);
         bytes_sent += bytes.size();
+        longest_message = std::max(longest_message, bytes.size());
         for (guarded_daemon* receiver : receivers)
             if (std::bernoulli_distribution(1 - loss)(random))
                 receiver->guard.merge(std::get<prompt_parts_message>(decode(bytes)));
@@ -188,4 +190,41 @@
     BOOST_TEST(bytes_sent <= max_bytes_per_second * duration.count());
 }
 
+// Guards against evidence that doesn't arrive because it is too long for a datagram.
+BOOST_FIXTURE_TEST_CASE(the_evidence_of_many_crashes_is_sent_in_several_messages,
+                        guards_fixture)
+{
+    constexpr std::size_t max_message_bytes = 8192;
+    for (int i = 0; i < 3; ++i)
+        add_daemon();
+    for (int engine = 0; engine < 40; ++engine)
+    {
+        positioned_parts parts;
+        for (int part = 0; part < 60; ++part)
+            parts[{"1234567890-" + std::to_string(engine) + "-" + std::to_string(part)}] =
+                1;
+        parts[{"bad"}] = 1;
+        daemons[0]->guard.on_crash({"i-1234567890" + std::to_string(engine)}, parts);
+    }
+    run_until([] { return false; }, milliseconds(300));
+    crash_engines();
+    run_until([&] { return !admits(1, {{"bad"}}); }, stability_time);
+    BOOST_TEST(!admits(1, {{"bad"}}));
+    BOOST_TEST(longest_message <= max_message_bytes);
+}
+
+// A block that turns out to be wrong gives way to the next explanation without another
+// crash.
+BOOST_FIXTURE_TEST_CASE(the_next_explanation_is_blocked_when_a_block_ends, guards_fixture)
+{
+    for (int i = 0; i < 3; ++i)
+        add_daemon();
+    crash_engines();
+    run_until([&] { return all_admit({{"bad"}}, false); }, stability_time);
+    daemons[1]->guard.on_answered(request({{"bad"}}));
+    run_until([&] { return all_admit({{"shared"}}, false); }, stability_time);
+    BOOST_TEST(all_admit({{"shared"}}, false));
+    BOOST_TEST(all_admit({{"bad"}}, true));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
