--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -211,7 +211,7 @@
 void event_loop::set_reset_on_close(stream_id id, bool resets)
 {
     const auto found = streams_.find(id.value);
-    if (found == streams_.end())
+    if (found == streams_.end() || found->second.resets_on_close == resets)
         return;
     found->second.resets_on_close = resets;
     const linger option{resets ? 1 : 0, 0};
