--- a/servers/gateway/crash_guard.hpp
+++ b/servers/gateway/crash_guard.hpp
@@ -27,7 +27,7 @@
     crash_guard(gateway_context& context, broadcast_function broadcast,
                 broadcast_function gossip);
 
-    // The part of the guard for prompt parts that crash engines in any request.
+    // The guard against prompt parts that crash engines, whichever request has them.
     prompt_part_guard& prompt_parts() { return prompt_parts_; }
 
     // Returns whether the request may be sent, is a suspect or is blocked.
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -143,8 +143,8 @@
     void end_with_error_response(http_exchange& exchange, const failure& reason);
     void remove_exchange(http_exchange& exchange);
     void log_refusal(const http_exchange& exchange, const std::string& code);
-    // Logs how a stream ended, if the endpoint stated no length or it ended inside an
-    // event.
+    // Logs how a stream ended, unless its length was stated and its last event is
+    // complete.
     void log_stream_end(const http_exchange& exchange);
     // Counts the request's outcome and its duration in the metrics.
     void count_outcome(const http_exchange& exchange, const std::string& outcome,
