Read the request limit that an endpoint states, log it and show it

Of several statements the lowest counts; one that is not a decimal number of 0 or more is reported and changes nothing else. `/v1/endpoints` shows it, `pollenhaven_limited_endpoints` counts it. No decision reads it yet.

--- a/core/interfaces/platform_dialect.hpp
+++ b/core/interfaces/platform_dialect.hpp
@@ -96,6 +96,11 @@
     // Requests running and queued at the endpoint.
     std::optional<int> running;
     std::optional<int> waiting;
+    // The requests that the endpoint takes from all daemons together, if it states a
+    // limit.
+    std::optional<request_rate> request_limit;
+    // The endpoint states a limit that can't be read.
+    bool has_malformed_limit = false;
     // How long the endpoint keeps an idle connection open.
     std::optional<milliseconds> idle_timeout;
 };
--- a/core/records/endpoint_record.hpp
+++ b/core/records/endpoint_record.hpp
@@ -18,6 +18,14 @@
 // Version number of an adapter; a larger one is newer.
 using adapter_version = strong_number<struct adapter_version_tag>;
 
+// A number of requests per second; 0 or more.
+struct request_rate
+{
+    double per_second = 0;
+
+    bool operator==(const request_rate&) const = default;
+};
+
 struct versioned_adapter
 {
     adapter_id adapter;
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -116,6 +116,8 @@
     instant failure_at{};
     // Failed connection attempts since the last response.
     int connect_failures = 0;
+    // The limit on requests from all daemons together that the endpoint stated last.
+    std::optional<request_rate> request_limit;
     // No requests are sent before this time, because the endpoint was full or could not
     // be reached.
     instant backoff_until{};
--- a/servers/gateway/gateway_reports.cpp
+++ b/servers/gateway/gateway_reports.cpp
@@ -41,17 +41,20 @@
     const instant now = context.loop.now();
     json report = json::array();
     for (const auto& [id, endpoint] : context.fleet.endpoints)
-        report.push_back({{"endpoint", id.value},
-                          {"service", endpoint.record.service.value},
-                          {"address", endpoint.record.address.value},
-                          {"zone", endpoint.record.zone},
-                          {"state", state_name(endpoint)},
-                          {"holder", endpoint.holder.value},
-                          {"holder_token", endpoint.holder_token},
-                          {"slots", endpoint.record.slots},
-                          {"running", total_in_flight(endpoint, now)},
-                          {"queued_loads", endpoint.queued_loads},
-                          {"adapters", endpoint.adapters.size()}});
+        report.push_back(
+            {{"endpoint", id.value},
+             {"service", endpoint.record.service.value},
+             {"address", endpoint.record.address.value},
+             {"zone", endpoint.record.zone},
+             {"state", state_name(endpoint)},
+             {"holder", endpoint.holder.value},
+             {"holder_token", endpoint.holder_token},
+             {"slots", endpoint.record.slots},
+             {"running", total_in_flight(endpoint, now)},
+             {"queued_loads", endpoint.queued_loads},
+             {"requests_per_second",
+              endpoint.request_limit ? json(endpoint.request_limit->per_second) : json()},
+             {"adapters", endpoint.adapters.size()}});
     return report;
 }
 
@@ -102,12 +105,15 @@
                 static_cast<double>(configuration_version_of(context)));
     int held = 0;
     int queued = 0;
+    int limited = 0;
     for (const auto& [id, endpoint] : context.fleet.endpoints)
     {
         held += endpoint.holder == context.settings.id ? 1 : 0;
         queued += endpoint.queued_loads;
+        limited += endpoint.request_limit ? 1 : 0;
     }
     metrics.set("pollenhaven_engines_held", held);
+    metrics.set("pollenhaven_limited_endpoints", limited);
     metrics.set("pollenhaven_queued_loads", queued);
 }
 
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -91,6 +91,8 @@
     void on_upstream_ended(exchange_id id, stream_end end);
     // Evaluates the head of an endpoint's response. Returns false if the attempt ended.
     bool process_response_head(http_exchange& exchange);
+    // Records the limit on requests that the endpoint states in its response.
+    void record_request_limit(const http_exchange& exchange, endpoint_view& view);
     // Passes the response on to the caller: streams as their bytes arrive, any other
     // response once it is complete.
     void relay(http_exchange& exchange, bool is_complete);
--- a/tests/contract/fleet_dialect_test.cpp
+++ b/tests/contract/fleet_dialect_test.cpp
@@ -57,6 +57,30 @@
     BOOST_TEST(request.deadline->count() == 15000);
 }
 
+BOOST_AUTO_TEST_CASE(a_stated_request_limit_is_read_and_a_malformed_one_is_reported)
+{
+    const auto read = [](const std::vector<std::string>& limits)
+    {
+        http_head head;
+        head.status = 200;
+        for (const std::string& limit : limits)
+            head.fields.push_back({"Server-Limit", limit});
+        return dialect().read_response(head);
+    };
+    BOOST_TEST(!read({}).request_limit.has_value());
+    BOOST_TEST(read({"2.5"}).request_limit->per_second == 2.5);
+    BOOST_TEST(read({"0"}).request_limit->per_second == 0);
+    BOOST_TEST(read({"99999999999"}).request_limit->per_second == 99999999999.0);
+    BOOST_TEST(read({"4", "2.5"}).request_limit->per_second == 2.5);
+    for (const std::string malformed :
+         {"", "-1", "-0", "2.5 per second", "1e9", "nan", "inf"})
+    {
+        BOOST_TEST(!read({malformed}).request_limit.has_value(), malformed);
+        BOOST_TEST(read({malformed}).has_malformed_limit, malformed);
+    }
+    BOOST_TEST(read({"4", "x"}).request_limit->per_second == 4);
+}
+
 // The last part is the request's own, so a request with one part shares none.
 BOOST_AUTO_TEST_CASE(the_parts_of_a_prompt_that_requests_share_are_read)
 {
