--- a/tests/standins/fleet_engine_standin.cpp
+++ b/tests/standins/fleet_engine_standin.cpp
@@ -48,12 +48,6 @@
     std::string entry;
 };
 
-long long wall_clock_ms()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<milliseconds>(now).count();
-}
-
 class fleet_engine
 {
 public:
@@ -177,13 +171,15 @@
         return {{"runs", executions_.size()},    {"most_runs", max_executions},
                 {"refused", rejected_requests_}, {"orders", orders_},
                 {"crashes", crashes_},           {"resumed", resumed_},
-                {"overfilled", slot_overflows_}, {"born", started_at_ms_}};
+                {"overfilled", slot_overflows_}, {"born", started_at_ms_},
+                {"arrivals", arrivals_ms_}};
     }
 
     // Applies the fields of POST /control: crash_marker (a text in a request body that
     // makes the engine crash), crash_part (a shared part of a prompt that does),
     // wrong_adapter (true rejects all chat completions), fail_loads (number of loads to
-    // fail) and event_ms (time between events).
+    // fail), event_ms (time between events) and limit (the requests per second that its
+    // responses state as its limit; empty for none).
     void control(const json& change)
     {
         const std::lock_guard lock(mutex_);
@@ -192,6 +188,16 @@
         rejects_adapters_ = change.value("wrong_adapter", rejects_adapters_);
         loads_to_fail_ = change.value("fail_loads", loads_to_fail_);
         options_.event_interval_ms = change.value("event_ms", options_.event_interval_ms);
+        stated_limit_ = change.value("limit", stated_limit_);
+    }
+
+    // Records the arrival of a request. Returns the limit to state in its response; empty
+    // for none.
+    std::string record_arrival()
+    {
+        const std::lock_guard lock(mutex_);
+        arrivals_ms_.push_back(wall_clock_ms());
+        return stated_limit_;
     }
 
     // Returns true, and counts a crash, if the body contains the crash marker or one of
@@ -272,6 +278,9 @@
     bool rejects_adapters_ = false;
     std::string crash_marker_;
     std::string crash_part_;
+    std::string stated_limit_;
+    // Times of the requests' arrivals, rejected ones too; orders and reports don't count.
+    std::vector<long long> arrivals_ms_;
 };
 
 bool is_for_other_instance(const httplib::Request& request,
@@ -464,6 +473,9 @@
     {
         const engine_options& settings = engine_.settings();
         set_common_fields(request, response, settings);
+        const std::string limit = engine_.record_arrival();
+        if (!limit.empty())
+            response.set_header("Server-Limit", limit);
         const std::string id = request.get_header_value("X-Pollenhaven-Request-Id");
         const std::string model = request.get_header_value("X-Pollenhaven-Model");
         const std::string version =
--- a/tests/standins/main.cpp
+++ b/tests/standins/main.cpp
@@ -7,6 +7,7 @@
 
 #include <httplib.h>
 
+#include <chrono>
 #include <csignal>
 #include <functional>
 #include <iostream>
@@ -50,6 +51,12 @@
 
 } // namespace
 
+long long wall_clock_ms()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 int number_option(const options& option_values, const std::string& name, int fallback)
 {
     const auto found = option_values.find(name);
--- a/tests/standins/service_endpoint_standin.cpp
+++ b/tests/standins/service_endpoint_standin.cpp
@@ -53,6 +53,9 @@
         bool loses_response = false;
         {
             const std::lock_guard lock(mutex_);
+            arrivals_ms_.push_back(wall_clock_ms());
+            if (!stated_limit_.empty())
+                response.set_header("Server-Limit", stated_limit_);
             if (rejects_calls_)
             {
                 response.status = status_unavailable;
@@ -86,18 +89,21 @@
             max_executions = std::max(max_executions, count);
         return {{"runs", executions_by_request_.size()},
                 {"most_runs", max_executions},
-                {"carried_out", executions_by_key_}};
+                {"carried_out", executions_by_key_},
+                {"arrivals", arrivals_ms_}};
     }
 
     // Applies the fields of POST /control: delay_ms (delay of each response),
-    // lose_replies (number of calls that run but whose responses are aborted) and refuse
-    // (true rejects calls without running them).
+    // lose_replies (number of calls that run but whose responses are aborted), refuse
+    // (true rejects calls without running them) and limit (the requests per second that
+    // its responses state as its limit; empty for none).
     void control(const json& change)
     {
         const std::lock_guard lock(mutex_);
         delay_ms_ = change.value("delay_ms", delay_ms_);
         responses_to_lose_ = change.value("lose_replies", responses_to_lose_);
         rejects_calls_ = change.value("refuse", rejects_calls_);
+        stated_limit_ = change.value("limit", stated_limit_);
     }
 
     std::string id_;
@@ -107,6 +113,8 @@
     int delay_ms_ = 0;
     int responses_to_lose_ = 0;
     bool rejects_calls_ = false;
+    std::string stated_limit_;
+    std::vector<long long> arrivals_ms_;
 };
 
 } // namespace
--- a/tests/standins/standin.hpp
+++ b/tests/standins/standin.hpp
@@ -21,6 +21,9 @@
 std::string text_option(const options& option_values, const std::string& name,
                         const std::string& fallback);
 
+// Returns the wall-clock time in milliseconds since the Unix epoch.
+long long wall_clock_ms();
+
 // Listens on 127.0.0.1 at the port of the option "port" (0 or none: chosen by the
 // system), prints a line that ends in the address, and serves until the server is
 // stopped. Returns the exit code of the program, 1 if the server can't listen.
