Keep to the request limits of endpoints by permits from one daemon for each endpoint

Cause: nobody read the statement. The class: a figure that holds for all daemons together and that no daemon can keep alone.

Fix: for each limited endpoint the first leased member by rendezvous hashing gives a permit for each request, in any second at most the limit, rounded up, and in any four at most four times it. First sends, second attempts and resumptions all need one. Every daemon counts the requests that heartbeats report for each endpoint, so the giver starts with the requests that were sent before the limit was known, and the next giver with those that the last one permitted. A permit counts when it is given: a lost message can only make the endpoint get less. The daemon that reads a limit first tells all others, the giver's heartbeats repeat it, and each request for a permit names it. Higher limits and the end are believed only from a request that was sent after the limit was learned.

An endpoint whose permits are used up counts as one that lacks the adapter, so that it is loaded elsewhere; loads and requests prefer endpoints without a limit. Where nothing else can serve a request in time it is refused at once, with Retry-After from the permit giver, which spreads the daemons by the rate.

Weighed: equal shares waste a limit of 2.5 a second over 360 daemons (a request each 144 s at one that has one by chance); counting only what others announce overshoots by all that is sent within the messages' delay.

--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -102,7 +102,8 @@
     const double slowdown = std::max(first_byte / assumed_first_byte_ms, min_slowdown);
     double cost = std::max(first_byte, 1.0) * (1 + 4 * running / slots) +
                   slowdown * (prefill_tokens / prefill_tokens_per_ms) +
-                  batch_cost_ms * running + failure_cost_ms * failures;
+                  batch_cost_ms * running + failure_cost_ms * failures +
+                  limit_cost_ms(endpoint.limit);
     if (endpoint.record.zone != fleet.zone)
         cost += other_zone_cost_ms;
     // Daemons with the same outdated view must not all select the same endpoint, so up to
@@ -212,13 +213,24 @@
 {
     dispatch_decision decision;
     double best = std::numeric_limits<double>::infinity();
+    double best_limited = std::numeric_limits<double>::infinity();
     bool any_has_adapter = false;
+    bool any_has_permits = false;
     adapter_supply supply;
     std::optional<double> busy_threshold;
     for (const auto& [id, endpoint] : fleet.endpoints)
     {
         if (!is_candidate(endpoint, query, now))
             continue;
+        const permit_status permit = status_of(endpoint.limit, now);
+        if (permit == permit_status::denied)
+        {
+            decision.no_permit_until =
+                std::min(decision.no_permit_until.value_or(endpoint.limit.denied_until),
+                         endpoint.limit.denied_until);
+            continue;
+        }
+        any_has_permits = true;
         const bool needs_adapter = !query.adapter.empty();
         const resident_adapter* resident =
             needs_adapter ? find_adapter(fleet, endpoint, query.adapter) : nullptr;
@@ -234,10 +246,16 @@
         if (!has_prefill_capacity(endpoint, query, now))
             continue;
         const double cost = expected_cost_ms(fleet, endpoint, query, now);
-        if (cost < best)
-            decision.endpoint = id;
-        best = std::min(best, cost);
+        const bool needs_permit = permit == permit_status::unknown;
+        double& lowest = needs_permit ? best_limited : best;
+        if (cost < lowest)
+            (needs_permit ? decision.needs_permit : decision.endpoint) = id;
+        lowest = std::min(lowest, cost);
     }
+    if (decision.endpoint)
+        decision.needs_permit.reset();
+    if (any_has_permits)
+        decision.no_permit_until.reset();
     decision.needs_load = !query.adapter.empty() && !any_has_adapter;
     decision.needs_replica = needs_replica(supply, query.request_hash);
     return decision;
@@ -275,7 +293,8 @@
             endpoint->queued_loads * store_load_ms +
             request_cost_ms * total_in_flight(*endpoint, now) +
             failure_cost_ms *
-                decayed(endpoint->failure_share, 0, endpoint->failure_at, now);
+                decayed(endpoint->failure_share, 0, endpoint->failure_at, now) +
+            limit_cost_ms(endpoint->limit);
         if (cost < best_cost)
             best = endpoint->record.id;
         best_cost = std::min(best_cost, cost);
--- a/policy/fleet/endpoint_selection.hpp
+++ b/policy/fleet/endpoint_selection.hpp
@@ -33,12 +33,20 @@
     bool needs_load = false;
     // All endpoints with the adapter are so busy that another one should load it too.
     bool needs_replica = false;
+    // Only this endpoint can serve the request now; it has a request limit, and its
+    // permit giver must be asked first.
+    std::optional<endpoint_id> needs_permit;
+    // Set if no endpoint of the service can take a request before this time, because all
+    // have request limits and no permits are left.
+    std::optional<instant> no_permit_until;
 };
 
 // Selects the endpoint for a request: of those that have the required model or adapter,
 // the one with the lowest expected cost. The cost is an estimate of the response time
 // from the requests in flight, the pending prefill tokens and the measured time to the
-// first byte, plus a penalty for failures and for other availability zones.
+// first byte, plus a penalty for failures, for other availability zones and for request
+// limits. An endpoint with a request limit needs a permit; one without permits left
+// counts as one that doesn't have the adapter.
 dispatch_decision choose_endpoint(const fleet_view& fleet, const dispatch_query& query,
                                   instant now);
 
--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -1,5 +1,7 @@
 #include "policy/fleet/fleet_view.hpp"
 
+#include "policy/rendezvous.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -206,7 +208,7 @@
         const auto resident = other.adapters.find(adapter);
         if (id != endpoint.record.id && other.record.service == endpoint.record.service &&
             resident != other.adapters.end() && accepts_requests(other, now) &&
-            (!required || resident->second.version >= *required))
+            !other.limit.stated && (!required || resident->second.version >= *required))
             return true;
     }
     return false;
@@ -221,6 +223,24 @@
     return found->second.version;
 }
 
+daemon_id permit_giver(const fleet_view& fleet, const endpoint_id& endpoint)
+{
+    daemon_id giver;
+    std::uint64_t highest = 0;
+    for (const auto& [id, member] : fleet.members)
+    {
+        if (!member.leased || member.leaving)
+            continue;
+        const std::uint64_t weight = rendezvous_weight(endpoint.value, id.value);
+        if (giver.empty() || weight > highest)
+        {
+            giver = id;
+            highest = weight;
+        }
+    }
+    return giver;
+}
+
 int live_member_count(const fleet_view& fleet)
 {
     int live = 0;
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -5,6 +5,7 @@
 #include "core/ids.hpp"
 #include "core/records/endpoint_record.hpp"
 #include "policy/fleet/load_time_model.hpp"
+#include "policy/fleet/request_limit.hpp"
 
 #include <map>
 #include <optional>
@@ -116,8 +117,8 @@
     instant failure_at{};
     // Failed connection attempts since the last response.
     int connect_failures = 0;
-    // The limit on requests from all daemons together that the endpoint stated last.
-    std::optional<request_rate> request_limit;
+    // The limit on requests from all daemons together.
+    limit_view limit;
     // No requests are sent before this time, because the endpoint was full or could not
     // be reached.
     instant backoff_until{};
@@ -201,8 +202,8 @@
 void record_missing_adapter(endpoint_view& endpoint, const adapter_id& adapter,
                             instant now);
 
-// Returns true if another endpoint of the service has the adapter, or is loading it, in a
-// version on which requests may run.
+// Returns true if another endpoint of the service without a request limit has the
+// adapter, or is loading it, in a version on which requests may run.
 bool is_loaded_elsewhere(const fleet_view& fleet, const endpoint_view& endpoint,
                          const adapter_id& adapter, instant now);
 
@@ -211,6 +212,11 @@
 std::optional<adapter_version> required_version(const fleet_view& fleet,
                                                 const adapter_id& adapter);
 
+// Returns the daemon that gives the permits for an endpoint with a request limit: of
+// those with a lease in the store that aren't leaving, the first by rendezvous hashing.
+// Empty if there is none.
+daemon_id permit_giver(const fleet_view& fleet, const endpoint_id& endpoint);
+
 // Returns the number of daemons with a lease in the store, including this one.
 int live_member_count(const fleet_view& fleet);
 
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -2,6 +2,7 @@
 
 #include <nlohmann/json.hpp>
 
+#include <cmath>
 #include <stdexcept>
 
 namespace pollenhaven
@@ -98,6 +99,8 @@
         body["partial"] = true;
     if (message.operator_revision.value != 0)
         body["rev"] = message.operator_revision.value;
+    for (const auto& [endpoint, limit] : message.request_limits)
+        body["limits"][endpoint.value] = limit.per_second;
     return body;
 }
 
@@ -199,6 +202,47 @@
             {"position", message.response_revision.value}};
 }
 
+json encode_body(const endpoint_limit_message& message)
+{
+    json body{{"kind", "limit"},
+              {"from", message.sender.value},
+              {"at", message.endpoint.value},
+              {"born", message.endpoint_started_ms},
+              {"permit", message.permit.value}};
+    if (message.limit)
+        body["limit"] = message.limit->per_second;
+    return body;
+}
+
+json encode_body(const permit_request_message& message)
+{
+    return {{"kind", "may"},
+            {"from", message.sender.value},
+            {"at", message.endpoint.value},
+            {"born", message.endpoint_started_ms},
+            {"limit", message.limit.per_second},
+            {"age", message.limit_age.count()}};
+}
+
+json encode_body(const permit_message& message)
+{
+    return {{"kind", "permit"},
+            {"from", message.sender.value},
+            {"at", message.endpoint.value},
+            {"limited", message.is_limited},
+            {"number", message.number.value},
+            {"retry", message.retry_in.count()}};
+}
+
+request_rate decode_rate(const json& value)
+{
+    const double rate = value.get<double>();
+    if (!std::isfinite(rate) || rate < 0)
+        throw std::runtime_error("the request limit " + value.dump() +
+                                 " is not a rate of 0 or more");
+    return {rate};
+}
+
 heartbeat_message decode_heartbeat(const json& body)
 {
     heartbeat_message message;
@@ -219,6 +263,9 @@
         message.load_times.full_speed_ms = store.at(1).get<double>();
         message.load_times.loads_at_full_speed = store.at(2).get<double>();
     }
+    if (body.contains("limits"))
+        for (const auto& [endpoint, limit] : body.at("limits").items())
+            message.request_limits[{endpoint}] = decode_rate(limit);
     return message;
 }
 
@@ -323,6 +370,37 @@
     return message;
 }
 
+endpoint_limit_message decode_endpoint_limit(const json& body)
+{
+    endpoint_limit_message message;
+    message.endpoint = {body.at("at").get<std::string>()};
+    message.endpoint_started_ms = body.at("born").get<std::uint64_t>();
+    message.permit = {body.at("permit").get<std::uint64_t>()};
+    if (body.contains("limit"))
+        message.limit = decode_rate(body.at("limit"));
+    return message;
+}
+
+permit_request_message decode_permit_request(const json& body)
+{
+    permit_request_message message;
+    message.endpoint = {body.at("at").get<std::string>()};
+    message.endpoint_started_ms = body.at("born").get<std::uint64_t>();
+    message.limit = decode_rate(body.at("limit"));
+    message.limit_age = milliseconds(body.at("age").get<long long>());
+    return message;
+}
+
+permit_message decode_permit(const json& body)
+{
+    permit_message message;
+    message.endpoint = {body.at("at").get<std::string>()};
+    message.is_limited = body.at("limited").get<bool>();
+    message.number = {body.at("number").get<std::uint64_t>()};
+    message.retry_in = milliseconds(body.at("retry").get<long long>());
+    return message;
+}
+
 fleet_message decode_body(const json& body)
 {
     const std::string kind = body.at("kind").get<std::string>();
@@ -344,6 +422,12 @@
         return decode_sync_request(body);
     if (kind == "piece")
         return decode_sync_chunk(body);
+    if (kind == "limit")
+        return decode_endpoint_limit(body);
+    if (kind == "may")
+        return decode_permit_request(body);
+    if (kind == "permit")
+        return decode_permit(body);
     throw std::runtime_error("the message kind '" + kind + "' is unknown");
 }
 
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -5,6 +5,7 @@
 #include "core/records/endpoint_record.hpp"
 #include "policy/fleet/load_time_model.hpp"
 #include "policy/fleet/prompt_part_crashes.hpp"
+#include "policy/fleet/request_limit.hpp"
 
 #include <map>
 #include <optional>
@@ -50,6 +51,8 @@
     std::vector<load_observation> load_observations;
     // What the sender has learned from all observations.
     load_time_model load_times;
+    // The request limits of the endpoints for which the sender gives permits.
+    std::map<endpoint_id, request_rate> request_limits;
 };
 
 // The load of one daemon at one endpoint, without the counts by adapter.
@@ -177,10 +180,48 @@
     store_revision response_revision;
 };
 
+// Tells peers the request limit that an endpoint has stated, or its end.
+struct endpoint_limit_message
+{
+    daemon_id sender;
+    endpoint_id endpoint;
+    // The start of the endpoint, as in its record.
+    std::uint64_t endpoint_started_ms = 0;
+    // None if the limit has ended.
+    std::optional<request_rate> limit;
+    // The permit of the request whose response had no limit; 0 if the giver has judged.
+    permit_number permit;
+};
+
+// Asks the giver of an endpoint's permits for one.
+struct permit_request_message
+{
+    daemon_id sender;
+    endpoint_id endpoint;
+    std::uint64_t endpoint_started_ms = 0;
+    // The limit that the sender knows, and for how long it has known it.
+    request_rate limit;
+    milliseconds limit_age{0};
+};
+
+// The answer to a permit_request_message.
+struct permit_message
+{
+    daemon_id sender;
+    endpoint_id endpoint;
+    // False if the endpoint has no limit any more.
+    bool is_limited = true;
+    // 0 if no permit is given.
+    permit_number number;
+    // When to ask again, if none is given.
+    milliseconds retry_in{0};
+};
+
 using fleet_message =
     std::variant<heartbeat_message, endpoint_load_message, inventory_message,
                  load_queue_message, load_request_message, suspects_message,
-                 prompt_parts_message, sync_request_message, sync_chunk_message>;
+                 prompt_parts_message, sync_request_message, sync_chunk_message,
+                 endpoint_limit_message, permit_request_message, permit_message>;
 
 // Encodes a message as MessagePack with a format version.
 std::string encode(const fleet_message& message);
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -129,6 +129,7 @@
         view.draining = false;
         view.previously_loaded.clear();
         view.inventory_received = false;
+        remove_limit(view.limit);
         apply_entry_adapters(view, record, now);
     }
     else if (!view.inventory_received)
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -13,6 +13,7 @@
 #include "servers/gateway/idempotency_claims.hpp"
 #include "servers/gateway/load_observations.hpp"
 #include "servers/gateway/request_flow.hpp"
+#include "servers/gateway/request_permits.hpp"
 #include "servers/gateway/store_sync.hpp"
 
 #include <csignal>
@@ -89,6 +90,7 @@
     // The addresses of the peers that are up as far as this daemon knows.
     std::vector<network_address> reachable_peers() const;
     void broadcast(const fleet_message& message);
+    void send_to_member(const daemon_id& member, const fleet_message& message);
     void send_to_random_peers(const fleet_message& message);
     void send_to(const std::vector<network_address>& peers, const fleet_message& message);
     void request_load(const load_request_message& request);
@@ -117,6 +119,7 @@
     http_server operator_server_;
     crash_guard guard_;
     idempotency_claims claims_;
+    request_permits permits_;
     request_flow flow_;
     engine_controller engine_controller_;
     fleet_membership membership_;
@@ -151,7 +154,12 @@
           context_, [this](const fleet_message& message) { broadcast(message); },
           [this](const fleet_message& message) { send_to_random_peers(message); }),
       claims_(context_),
-      flow_(context_, caller_server_, pool_, guard_, claims_,
+      permits_(
+          context_,
+          [this](const daemon_id& member, const fleet_message& message)
+          { send_to_member(member, message); },
+          [this](const fleet_message& message) { broadcast(message); }),
+      flow_(context_, caller_server_, pool_, guard_, claims_, permits_,
             [this](const load_request_message& request) { request_load(request); }),
       engine_controller_(
           context_,
@@ -196,6 +204,7 @@
                 endpoint_load_interval(live_member_count(context_.fleet), at_engine),
                 [this] { broadcast_endpoint_load(); });
         });
+    permits_.on_available([this] { dispatch_waiting(); });
     context_.incarnation = {random_hex(incarnation_bytes)};
     engine_controller_.attach(membership_);
 }
@@ -261,6 +270,7 @@
     {
         apply_heartbeat(context_.fleet, *heartbeat, now);
         watcher_.operator_watch().on_peer_change(heartbeat->operator_revision);
+        permits_.on_heartbeat(*heartbeat);
         for (const auto& [endpoint, load] : heartbeat->endpoint_loads)
             engine_controller_.record_adapter_usage(endpoint, load);
     }
@@ -283,6 +293,12 @@
         store_sync_.on_request(*sync_request);
     else if (const auto* chunk = std::get_if<sync_chunk_message>(&message))
         store_sync_.on_chunk(*chunk);
+    else if (const auto* limit = std::get_if<endpoint_limit_message>(&message))
+        permits_.on_limit(*limit);
+    else if (const auto* permit_request = std::get_if<permit_request_message>(&message))
+        permits_.on_request(*permit_request);
+    else if (const auto* permit = std::get_if<permit_message>(&message))
+        permits_.on_permit(*permit);
 }
 
 void gateway::dispatch_waiting()
@@ -319,6 +335,13 @@
     send_to(reachable_peers(), message);
 }
 
+void gateway::send_to_member(const daemon_id& member, const fleet_message& message)
+{
+    const auto found = context_.fleet.members.find(member);
+    if (found != context_.fleet.members.end() && !found->second.peer_address.empty())
+        send_to({found->second.peer_address}, message);
+}
+
 void gateway::send_to_random_peers(const fleet_message& message)
 {
     constexpr std::size_t peers_per_message = 3;
@@ -350,15 +373,9 @@
     // selects another engine.
     if (!request.replica && !request.is_repeated)
         record_load_request(engine, context_.loop.now());
-    const daemon_id& holder = engine.holder;
-    if (holder == context_.settings.id)
+    if (engine.holder == context_.settings.id)
         return engine_controller_.request_load(request);
-    const auto member = context_.fleet.members.find(holder);
-    if (member == context_.fleet.members.end() || member->second.peer_address.empty())
-        return;
-    const std::string bytes = encode(request);
-    context_.loop.send_datagram(member->second.peer_address, bytes);
-    count_message(statistics_.sent, request, bytes.size());
+    send_to_member(engine.holder, request);
 }
 
 void gateway::send_heartbeat()
@@ -373,6 +390,7 @@
     message.operator_revision = watcher_.operator_watch().newest_change();
     message.load_observations = take_load_observations(context_);
     message.load_times = context_.fleet.load_times;
+    message.request_limits = permits_.limits_to_report();
     message.has_endpoint_loads =
         heartbeats_sent_++ %
             heartbeats_per_load_report(live_member_count(context_.fleet)) ==
@@ -395,6 +413,7 @@
         load.pending_prefill_tokens = view.pending_prefill_tokens;
         load.in_flight_by_adapter = view.in_flight_by_adapter;
         engine_controller_.record_adapter_usage(endpoint, load);
+        permits_.record_started(context_.settings.id, endpoint, load);
     }
 }
 
--- a/servers/gateway/gateway_reports.cpp
+++ b/servers/gateway/gateway_reports.cpp
@@ -52,8 +52,9 @@
              {"slots", endpoint.record.slots},
              {"running", total_in_flight(endpoint, now)},
              {"queued_loads", endpoint.queued_loads},
-             {"requests_per_second",
-              endpoint.request_limit ? json(endpoint.request_limit->per_second) : json()},
+             {"requests_per_second", endpoint.limit.stated
+                                         ? json(endpoint.limit.stated->rate.per_second)
+                                         : json()},
              {"adapters", endpoint.adapters.size()}});
     return report;
 }
@@ -110,7 +111,7 @@
     {
         held += endpoint.holder == context.settings.id ? 1 : 0;
         queued += endpoint.queued_loads;
-        limited += endpoint.request_limit ? 1 : 0;
+        limited += endpoint.limit.stated ? 1 : 0;
     }
     metrics.set("pollenhaven_engines_held", held);
     metrics.set("pollenhaven_limited_endpoints", limited);
--- a/servers/gateway/http_exchange.hpp
+++ b/servers/gateway/http_exchange.hpp
@@ -72,6 +72,8 @@
 
     // The endpoint of the last attempt; empty if there was none.
     endpoint_id endpoint;
+    // The permit of the last attempt, if the endpoint had a request limit.
+    std::optional<held_permit> permit;
     // The connection to the endpoint; 0 if no attempt is in progress.
     stream_id upstream;
     std::optional<http_reader> reader;
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -78,6 +78,13 @@
         return;
     if (decision.endpoint)
         return send_to_endpoint(exchange, *decision.endpoint);
+    if (decision.needs_permit)
+        permits_.request(*decision.needs_permit);
+    if (decision.no_permit_until && *decision.no_permit_until > exchange.wait_deadline)
+        return refuse_or_fail(exchange, "request_limit",
+                              "all endpoints of the service have reached the limits that "
+                              "they state",
+                              *decision.no_permit_until);
     if (decision.needs_load && exchange.load_engine &&
         now + expected_load_time(context_.fleet, *exchange.load_engine) >
             exchange.wait_deadline)
@@ -159,6 +166,7 @@
                               "too many requests are sent again");
     }
     endpoint_view& view = context_.fleet.endpoints.at(endpoint);
+    exchange.permit = use_permit(view.limit, now);
     forwarding_fields fields;
     fields.endpoint = endpoint;
     fields.deadline = to_milliseconds(exchange.deadline - now);
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -10,6 +10,7 @@
 #include "servers/gateway/http_exchange.hpp"
 #include "servers/gateway/http_server.hpp"
 #include "servers/gateway/idempotency_claims.hpp"
+#include "servers/gateway/request_permits.hpp"
 
 #include <functional>
 #include <map>
@@ -29,7 +30,7 @@
     using load_request_handler = std::function<void(const load_request_message&)>;
 
     request_flow(gateway_context& context, http_server& callers, connection_pool& pool,
-                 crash_guard& guard, idempotency_claims& claims,
+                 crash_guard& guard, idempotency_claims& claims, request_permits& permits,
                  load_request_handler request_load);
 
     // Handles a request up to its response, which is sent on the caller's stream.
@@ -91,8 +92,6 @@
     void on_upstream_ended(exchange_id id, stream_end end);
     // Evaluates the head of an endpoint's response. Returns false if the attempt ended.
     bool process_response_head(http_exchange& exchange);
-    // Records the limit on requests that the endpoint states in its response.
-    void record_request_limit(const http_exchange& exchange, endpoint_view& view);
     // Passes the response on to the caller: streams as their bytes arrive, any other
     // response once it is complete.
     void relay(http_exchange& exchange, bool is_complete);
@@ -130,12 +129,12 @@
     // Looks for another endpoint after an attempt that failed or was refused.
     void wait_for_endpoint(http_exchange& exchange);
     // Ends a request that certainly didn't run. The error response tells the caller when
-    // to retry.
+    // to retry, not before `retry_at`.
     void refuse(http_exchange& exchange, const std::string& code,
-                const std::string& message);
+                const std::string& message, instant retry_at = {});
     // Refuses a request that certainly didn't run, and fails any other.
     void refuse_or_fail(http_exchange& exchange, const std::string& code,
-                        const std::string& message);
+                        const std::string& message, instant retry_at = {});
     // Ends a request with an error. The verdict follows from its attempts so far.
     void fail(http_exchange& exchange, int status, const std::string& code,
               const std::string& message);
@@ -162,6 +161,7 @@
     connection_pool& pool_;
     crash_guard& guard_;
     idempotency_claims& claims_;
+    request_permits& permits_;
     load_request_handler request_load_;
     std::uint64_t next_id_ = 1;
     std::unordered_map<std::uint64_t, http_exchange> exchanges_;
--- a/servers/gateway/request_flow_admission.cpp
+++ b/servers/gateway/request_flow_admission.cpp
@@ -20,9 +20,10 @@
 
 request_flow::request_flow(gateway_context& context, http_server& callers,
                            connection_pool& pool, crash_guard& guard,
-                           idempotency_claims& claims, load_request_handler request_load)
+                           idempotency_claims& claims, request_permits& permits,
+                           load_request_handler request_load)
     : context_(context), callers_(callers), pool_(pool), guard_(guard), claims_(claims),
-      request_load_(std::move(request_load))
+      permits_(permits), request_load_(std::move(request_load))
 {
 }
 
--- a/servers/gateway/request_flow_completion.cpp
+++ b/servers/gateway/request_flow_completion.cpp
@@ -2,6 +2,8 @@
 
 #include "policy/fleet/wait_limits.hpp"
 
+#include <algorithm>
+
 namespace pollenhaven
 {
 
@@ -34,23 +36,25 @@
 }
 
 void request_flow::refuse(http_exchange& exchange, const std::string& code,
-                          const std::string& message)
+                          const std::string& message, instant retry_at)
 {
     log_refusal(exchange, code);
     const instant now = context_.loop.now();
     const milliseconds time_left = exchange.deadline > now
                                        ? to_milliseconds(exchange.deadline - now)
                                        : milliseconds(1000);
+    milliseconds delay = retry_delay(time_left, request_hash(exchange));
+    if (retry_at > now)
+        delay = std::max(delay, to_milliseconds(retry_at - now));
     end_with_error_response(exchange,
-                            {verdict::not_run, status_unavailable, code, message,
-                             retry_delay(time_left, request_hash(exchange))});
+                            {verdict::not_run, status_unavailable, code, message, delay});
 }
 
 void request_flow::refuse_or_fail(http_exchange& exchange, const std::string& code,
-                                  const std::string& message)
+                                  const std::string& message, instant retry_at)
 {
     if (verdict_for(exchange) == verdict::not_run)
-        return refuse(exchange, code, message);
+        return refuse(exchange, code, message, retry_at);
     fail(exchange, status_bad_gateway, code, message);
 }
 
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -184,9 +184,8 @@
     }
     context_.loop.cancel(exchange.timer);
     exchange.timer = {};
-    const auto view = context_.fleet.endpoints.find(exchange.endpoint);
-    if (view != context_.fleet.endpoints.end())
-        record_request_limit(exchange, view->second);
+    permits_.on_response(exchange.endpoint, exchange.response, exchange.sent_at,
+                         exchange.permit);
     if (exchange.response.not_run)
     {
         on_endpoint_refused(exchange);
@@ -198,6 +197,7 @@
         on_attempt_failed(exchange, "the endpoint's answer has no signature", true);
         return false;
     }
+    const auto view = context_.fleet.endpoints.find(exchange.endpoint);
     if (view != context_.fleet.endpoints.end())
     {
         const instant now = context_.loop.now();
@@ -223,26 +223,6 @@
     return true;
 }
 
-void request_flow::record_request_limit(const http_exchange& exchange,
-                                        endpoint_view& view)
-{
-    const endpoint_response& response = exchange.response;
-    if (response.has_malformed_limit)
-        context_.log.write("endpoint limit malformed",
-                           {{"endpoint", exchange.endpoint.value},
-                            {"request", exchange.request.id.value}});
-    if (response.request_limit == view.request_limit)
-        return;
-    view.request_limit = response.request_limit;
-    context_.log.write(
-        "endpoint limit",
-        {{"endpoint", exchange.endpoint.value},
-         {"request", exchange.request.id.value},
-         {"per_second", view.request_limit
-                            ? std::to_string(view.request_limit->per_second)
-                            : std::string("none")}});
-}
-
 void request_flow::relay(http_exchange& exchange, bool is_complete)
 {
     const bool is_streamed = exchange.matched_route->kind == route_kind::streaming &&
@@ -478,10 +458,13 @@
     if (!may_retry(exchange))
         return fail(exchange, status_bad_gateway, "endpoint_failed", reason);
     const instant now = context_.loop.now();
-    const bool needs_adapter = !exchange.request.adapter.empty();
-    if (!needs_adapter &&
-        !choose_endpoint(context_.fleet, dispatch_query_for(exchange), now).endpoint)
-        return fail(exchange, status_bad_gateway, "endpoint_failed", reason);
+    if (exchange.request.adapter.empty())
+    {
+        const dispatch_decision other =
+            choose_endpoint(context_.fleet, dispatch_query_for(exchange), now);
+        if (!other.endpoint && !other.needs_permit)
+            return fail(exchange, status_bad_gateway, "endpoint_failed", reason);
+    }
     // Another engine may have to load the adapter first, so the wait deadline is
     // extended.
     exchange.wait_deadline =
--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -131,6 +131,7 @@
     http_server callers;
     crash_guard guard;
     idempotency_claims claims;
+    request_permits permits;
     request_flow flow;
     scripted_endpoint first;
     scripted_endpoint second;
@@ -141,6 +142,10 @@
     stream_end caller_end = stream_end::failed;
     int disconnected_callers = 0;
     std::vector<load_request_message> load_requests;
+    // What the request permits sent to all peers.
+    std::vector<fleet_message> broadcasts;
+    // What the request permits sent to single peers.
+    std::vector<fleet_message> sent;
     // Called on each load request, while the request that needs the load is still being
     // dispatched.
     std::function<void()> on_load_request = [] {};
@@ -168,12 +173,18 @@
               }),
           guard(
               context, [](const fleet_message&) {}, [](const fleet_message&) {}),
-          claims(context), flow(context, callers, pool, guard, claims,
-                                [this](const load_request_message& load)
-                                {
-                                    load_requests.push_back(load);
-                                    on_load_request();
-                                }),
+          claims(context),
+          permits(
+              context,
+              [this](const daemon_id&, const fleet_message& message)
+              { sent.push_back(message); },
+              [this](const fleet_message& message) { broadcasts.push_back(message); }),
+          flow(context, callers, pool, guard, claims, permits,
+               [this](const load_request_message& load)
+               {
+                   load_requests.push_back(load);
+                   on_load_request();
+               }),
           first(context.loop), second(context.loop)
     {
         callers.listen(address);
