Read the store's era from each of its responses, log a new one and changes left out

No log line told the era or that a change was left out, so the hypotheses couldn't be told apart.

All calls of the store go through store_client now, which records the era of each response. "store era" logs a change of it; a lower or malformed one is logged and changes nothing. "older change ignored" names key, revision and known revision. No decision reads it yet.

--- a/core/ids.hpp
+++ b/core/ids.hpp
@@ -52,6 +52,9 @@
 using ownership_epoch = strong_number<struct ownership_epoch_tag>;
 // A revision of the platform's key-value store; a larger one is newer.
 using store_revision = strong_number<struct store_revision_tag>;
+// Counts how often the store has been restored from a copy. Revisions of a later era are
+// newer, also if they are smaller.
+using store_era = strong_number<struct store_era_tag>;
 // A number of generated or prompt tokens.
 using token_count = strong_number<struct token_count_tag>;
 
--- a/core/interfaces/platform_dialect.hpp
+++ b/core/interfaces/platform_dialect.hpp
@@ -234,6 +234,9 @@
     // Returns the revision that the transaction wrote.
     std::function<store_revision(const std::string&)> read_transaction;
     std::function<granted_lease(const std::string&)> read_lease;
+    // Reads the store's era from the head of any of its responses; none if it isn't
+    // stated.
+    std::function<std::optional<store_era>(const http_head&)> read_era;
 
     std::function<outgoing_call(const engine_order&)> order_call;
     std::function<outgoing_call(const endpoint_id&)> report_call;
--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -60,9 +60,8 @@
 fleet_membership::fleet_membership(
     gateway_context& context, std::function<void(const endpoint_id&)> permission_changed)
     : context_(context), permission_changed_(std::move(permission_changed)),
-      client_(context.loop, context.settings.store_address),
-      watch_(context, daemon_prefix, watch_timing{},
-             [this](const store_item& item) { on_item(item); }),
+      client_(context), watch_(context, daemon_prefix, watch_timing{},
+                               [this](const store_item& item) { on_item(item); }),
       started_(context.loop.now())
 {
     member_view& self = context_.fleet.members[context_.settings.id];
@@ -109,12 +108,12 @@
     lease_call_pending_ = true;
     const instant sent = boot_clock::now();
     if (lease_ == 0)
-        client_.call(
-            context_.dialect.lease_call(context_.settings.lease.time_to_live).bytes,
-            store_timeout,
-            [this, sent](const http_result& result) { on_lease_granted(result, sent); });
+        client_.call(context_.dialect.lease_call(context_.settings.lease.time_to_live),
+                     store_timeout,
+                     [this, sent](const http_result& result)
+                     { on_lease_granted(result, sent); });
     else
-        client_.call(context_.dialect.keep_lease_call(lease_).bytes, store_timeout,
+        client_.call(context_.dialect.keep_lease_call(lease_), store_timeout,
                      [this, sent](const http_result& result)
                      { on_lease_renewed(result, sent); });
 }
@@ -180,7 +179,7 @@
         if (transaction.expected.size() + 1 < max_transaction_entries)
             transaction.expected.push_back(
                 {holder_prefix + endpoint.value, holders_.at(endpoint).revision});
-    client_.call(context_.dialect.transaction_call(transaction).bytes, write_timeout,
+    client_.call(context_.dialect.transaction_call(transaction), write_timeout,
                  [this, lease_sent](const http_result& result)
                  {
                      member_entry_written_ =
@@ -268,7 +267,7 @@
     transaction.writes.push_back({key, encode_holder(context_, previous), 0});
     // The result is ignored: the watch shows who holds the key, even if the response is
     // lost.
-    client_.call(context_.dialect.transaction_call(transaction).bytes, write_timeout,
+    client_.call(context_.dialect.transaction_call(transaction), write_timeout,
                  [](const http_result&) {});
 }
 
@@ -374,7 +373,7 @@
 {
     lease_validity_ = {};
     if (lease_ != 0)
-        client_.call(context_.dialect.end_lease_call(lease_).bytes, store_timeout,
+        client_.call(context_.dialect.end_lease_call(lease_), store_timeout,
                      [](const http_result&) {});
     lease_ = 0;
 }
--- a/servers/gateway/fleet_membership.hpp
+++ b/servers/gateway/fleet_membership.hpp
@@ -3,7 +3,7 @@
 
 #include "policy/fleet/order_permission.hpp"
 #include "servers/gateway/gateway_context.hpp"
-#include "servers/gateway/http_client.hpp"
+#include "servers/gateway/store_client.hpp"
 #include "servers/gateway/store_watch.hpp"
 
 #include <functional>
@@ -57,7 +57,7 @@
 
     gateway_context& context_;
     std::function<void(const endpoint_id&)> permission_changed_;
-    http_client client_;
+    store_client client_;
     store_watch watch_;
     std::uint64_t lease_ = 0;
     bool member_entry_written_ = false;
--- a/servers/gateway/gateway_context.hpp
+++ b/servers/gateway/gateway_context.hpp
@@ -46,6 +46,8 @@
     bool leaving = false;
     // When the store last responded to this daemon; zero if it never has.
     instant last_store_response{};
+    // The highest era that the store has stated; 0 if it states none.
+    store_era era;
     // When the last store outage ended; zero if there was none.
     instant store_outage_ended{};
     // When the store last responded after it had been silent towards this daemon for
@@ -53,6 +55,10 @@
     instant store_silence_ended{};
 };
 
+// Records the store's era, and logs a change of it. An era that is lower than the one
+// known, or can't be read, changes nothing.
+void record_store_era(gateway_context& context, const http_head& head);
+
 // Longer than the interval between two lease renewals, of which one may get no response.
 constexpr milliseconds max_store_response_gap{1000};
 
--- a/servers/gateway/http_client.cpp
+++ b/servers/gateway/http_client.cpp
@@ -75,6 +75,7 @@
     http_result result;
     result.has_response = state == read_state::complete;
     result.status = reader_->head().status;
+    result.head = reader_->head();
     result.body = std::move(reader_->body);
     const bool ends_cleanly = result.has_response && loop_.input(stream_).empty();
     finish(result, ends_cleanly && reader_->head().keep_alive);
@@ -89,6 +90,7 @@
     {
         result.has_response = true;
         result.status = reader_->head().status;
+        result.head = reader_->head();
         result.body = std::move(reader_->body);
     }
     stream_ = {};
--- a/servers/gateway/http_client.hpp
+++ b/servers/gateway/http_client.hpp
@@ -20,6 +20,7 @@
     // True if no byte of the call was sent, so that it can't have been executed.
     bool not_sent = false;
     int status = 0;
+    http_head head;
     std::string body;
 };
 
--- a/servers/gateway/idempotency_claims.cpp
+++ b/servers/gateway/idempotency_claims.cpp
@@ -31,7 +31,7 @@
 } // namespace
 
 idempotency_claims::idempotency_claims(gateway_context& context)
-    : context_(context), client_(context.loop, context.settings.store_address)
+    : context_(context), client_(context)
 {
 }
 
@@ -39,7 +39,7 @@
 {
     const std::string attempt = request.record.attempt;
     pending_claims_[attempt] = {request, std::move(on_decision)};
-    client_.call(context_.dialect.transaction_call(claim_transaction(request)).bytes,
+    client_.call(context_.dialect.transaction_call(claim_transaction(request)),
                  claim_timeout,
                  [this, attempt](const http_result& result)
                  { on_claim_written(attempt, result); });
@@ -73,7 +73,7 @@
 {
     const claim_request request = pending_claims_.at(attempt).request;
     client_.call(
-        context_.dialect.range_call(request.key, "").bytes, claim_timeout,
+        context_.dialect.range_call(request.key, ""), claim_timeout,
         [this, attempt, request, may_be_written](const http_result& result)
         {
             claim_decision decision;
@@ -132,7 +132,7 @@
         [this, request, until]
         {
             client_.call(
-                context_.dialect.range_call(request.key, "").bytes, claim_timeout,
+                context_.dialect.range_call(request.key, ""), claim_timeout,
                 [this, request, until](const http_result& result)
                 {
                     if (!result.has_response || result.status != status_ok)
@@ -186,7 +186,7 @@
 
 void idempotency_claims::write_with_retry(const store_transaction& transaction)
 {
-    client_.call(context_.dialect.transaction_call(transaction).bytes, claim_timeout,
+    client_.call(context_.dialect.transaction_call(transaction), claim_timeout,
                  [this, transaction](const http_result& result)
                  {
                      // A failed precondition means that the store executed an earlier
@@ -222,7 +222,7 @@
 void idempotency_claims::remove_expired_claims_after(const std::string& after)
 {
     client_.call(
-        context_.dialect.range_call(claim_prefix, after).bytes, claim_timeout,
+        context_.dialect.range_call(claim_prefix, after), claim_timeout,
         [this](const http_result& result)
         {
             removal_in_progress_ = false;
--- a/servers/gateway/idempotency_claims.hpp
+++ b/servers/gateway/idempotency_claims.hpp
@@ -3,7 +3,7 @@
 
 #include "policy/call_claim.hpp"
 #include "servers/gateway/gateway_context.hpp"
-#include "servers/gateway/http_client.hpp"
+#include "servers/gateway/store_client.hpp"
 
 #include <functional>
 #include <map>
@@ -66,7 +66,7 @@
     bool is_first_member() const;
 
     gateway_context& context_;
-    http_client client_;
+    store_client client_;
     std::map<std::string, pending_claim> pending_claims_;
     instant last_removal_{};
     bool removal_in_progress_ = false;
--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -31,7 +31,7 @@
 store_watch::store_watch(gateway_context& context, std::string prefix,
                          watch_timing timing, change_handler changed)
     : context_(context), prefix_(std::move(prefix)), timing_(timing),
-      changed_(std::move(changed)), client_(context.loop, context.settings.store_address)
+      changed_(std::move(changed)), client_(context)
 {
     read_page("");
     check_pending_call();
@@ -41,7 +41,7 @@
                        http_client::completion_handler done)
 {
     call_sent_at_ = context_.loop.now();
-    client_.call(call.bytes, timeout,
+    client_.call(call, timeout,
                  [this, done = std::move(done)](const http_result& result)
                  {
                      call_sent_at_.reset();
@@ -170,7 +170,15 @@
 {
     const auto found = revisions_.find(item.key);
     if (found != revisions_.end() && item.revision <= found->second)
+    {
+        if (item.revision < found->second)
+            context_.log.write(
+                "older change ignored",
+                {{"key", item.key},
+                 {"revision", static_cast<std::int64_t>(item.revision.value)},
+                 {"known", static_cast<std::int64_t>(found->second.value)}});
         return;
+    }
     if (item.deleted && found == revisions_.end())
         return;
     if (item.deleted)
--- a/servers/gateway/store_watch.hpp
+++ b/servers/gateway/store_watch.hpp
@@ -2,7 +2,7 @@
 #define POLLENHAVEN_SERVERS_GATEWAY_STORE_WATCH_HPP
 
 #include "servers/gateway/gateway_context.hpp"
-#include "servers/gateway/http_client.hpp"
+#include "servers/gateway/store_client.hpp"
 
 #include <functional>
 #include <map>
@@ -78,7 +78,7 @@
     watch_timing timing_;
     change_handler changed_;
     std::function<void()> resynced_;
-    http_client client_;
+    store_client client_;
     // Revisions of the keys that exist, by key.
     std::map<std::string, store_revision> revisions_;
     bool retains_items_ = false;
