--- a/tests/standins/fleet_store_standin.cpp
+++ b/tests/standins/fleet_store_standin.cpp
@@ -48,10 +48,10 @@
     {
         const std::lock_guard lock(mutex_);
         json items = json::array();
-        for (const auto& [key, item] : items_)
+        for (const auto& [key, item] : state_.items)
             if (key.starts_with(prefix) && key > after)
                 items.push_back(item);
-        return {{"items", items}, {"morePages", false}, {"currentRev", revision_}};
+        return {{"items", items}, {"morePages", false}, {"currentRev", state_.revision}};
     }
 
     // Returns the events after a revision. If there are none, it waits up to `wait` for
@@ -63,15 +63,15 @@
         const steady::time_point until = steady::now() + wait;
         while (true)
         {
-            if (after < first_kept_revision_)
+            if (after < state_.first_kept_revision || after > state_.revision)
                 return std::nullopt;
             json events = json::array();
-            for (const json& event : history_)
+            for (const json& event : state_.history)
                 if (event["revision"].get<std::uint64_t>() > after &&
                     event["key"].get<std::string>().starts_with(prefix))
                     events.push_back(event);
             if (!events.empty() || steady::now() >= until)
-                return json{{"events", events}, {"currentRev", revision_}};
+                return json{{"events", events}, {"currentRev", state_.revision}};
             changed_.wait_until(lock, until);
         }
     }
@@ -88,14 +88,14 @@
         if (!failed.empty())
             return {status_condition_failed, {{"items", failed}}};
         for (const json& row : change.value("puts", json::array()))
-            if (row.value("lease", 0ULL) != 0 && !leases_.contains(row["lease"]))
+            if (row.value("lease", 0ULL) != 0 && !state_.leases.contains(row["lease"]))
                 return {status_not_found, json::object()};
         for (const json& row : change.value("puts", json::array()))
             put(row["key"], row["value"], row.value("lease", 0ULL));
         for (const json& key : change.value("remove", json::array()))
             remove(key);
         changed_.notify_all();
-        return {200, {{"revision", revision_}}};
+        return {200, {{"revision", state_.revision}}};
     }
 
     void put_text(const std::string& key, const std::string& text)
@@ -115,24 +115,24 @@
     void drop_history()
     {
         const std::lock_guard lock(mutex_);
-        history_.clear();
-        first_kept_revision_ = revision_;
+        state_.history.clear();
+        state_.first_kept_revision = state_.revision;
         changed_.notify_all();
     }
 
     json grant_lease(std::uint64_t ttl_ms)
     {
         const std::lock_guard lock(mutex_);
-        const std::uint64_t id = ++last_lease_;
-        leases_[id] = {std::chrono::milliseconds(ttl_ms), steady::now()};
+        const std::uint64_t id = ++state_.last_lease;
+        state_.leases[id] = {std::chrono::milliseconds(ttl_ms), steady::now()};
         return {{"lease", id}, {"ttlMs", ttl_ms}};
     }
 
     bool renew_lease(std::uint64_t id)
     {
         const std::lock_guard lock(mutex_);
-        const auto found = leases_.find(id);
-        if (found == leases_.end())
+        const auto found = state_.leases.find(id);
+        if (found == state_.leases.end())
             return false;
         found->second.renewed_at = steady::now();
         return true;
@@ -149,7 +149,7 @@
     {
         const std::lock_guard lock(mutex_);
         std::vector<std::uint64_t> expired;
-        for (const auto& [id, lease] : leases_)
+        for (const auto& [id, lease] : state_.leases)
             if (steady::now() - lease.renewed_at > lease.time_to_live)
                 expired.push_back(id);
         for (const std::uint64_t id : expired)
@@ -158,6 +158,27 @@
             changed_.notify_all();
     }
 
+    // Keeps a copy of the store as it is now, which restore_copy() puts in its place.
+    void save_copy()
+    {
+        const std::lock_guard lock(mutex_);
+        copy_ = state_;
+    }
+
+    // Loses what was written since the copy was made, and starts the next era: its
+    // revisions are given out again.
+    void restore_copy()
+    {
+        const std::lock_guard lock(mutex_);
+        state_ = copy_;
+        for (auto& [id, lease] : state_.leases)
+            lease.renewed_at = steady::now();
+        ++era_;
+        changed_.notify_all();
+    }
+
+    std::uint64_t era() const { return era_; }
+
 private:
     struct lease_entry
     {
@@ -167,49 +188,60 @@
 
     std::uint64_t revision_of(const std::string& key) const
     {
-        const auto found = items_.find(key);
-        return found == items_.end() ? 0 : found->second["revision"].get<std::uint64_t>();
+        const auto found = state_.items.find(key);
+        return found == state_.items.end()
+                   ? 0
+                   : found->second["revision"].get<std::uint64_t>();
     }
 
     void put(const std::string& key, const std::string& value, std::uint64_t lease)
     {
-        ++revision_;
+        ++state_.revision;
         const json item{{"key", key},
                         {"value", value},
-                        {"revision", revision_},
-                        {"created", revision_},
+                        {"revision", state_.revision},
+                        {"created", state_.revision},
                         {"lease", lease}};
-        items_[key] = item;
-        history_.push_back(item);
+        state_.items[key] = item;
+        state_.history.push_back(item);
     }
 
     void remove(const std::string& key)
     {
-        if (items_.erase(key) == 0)
+        if (state_.items.erase(key) == 0)
             return;
-        ++revision_;
-        history_.push_back({{"key", key}, {"revision", revision_}, {"deleted", true}});
+        ++state_.revision;
+        state_.history.push_back(
+            {{"key", key}, {"revision", state_.revision}, {"deleted", true}});
     }
 
     void remove_lease(std::uint64_t id)
     {
-        leases_.erase(id);
+        state_.leases.erase(id);
         std::vector<std::string> keys;
-        for (const auto& [key, item] : items_)
+        for (const auto& [key, item] : state_.items)
             if (item["lease"].get<std::uint64_t>() == id)
                 keys.push_back(key);
         for (const std::string& key : keys)
             remove(key);
     }
 
+    // What a copy contains.
+    struct content
+    {
+        std::map<std::string, json> items;
+        std::vector<json> history;
+        std::uint64_t revision = 1;
+        std::uint64_t first_kept_revision = 0;
+        std::uint64_t last_lease = 100;
+        std::map<std::uint64_t, lease_entry> leases;
+    };
+
     std::mutex mutex_;
     std::condition_variable changed_;
-    std::map<std::string, json> items_;
-    std::vector<json> history_;
-    std::uint64_t revision_ = 1;
-    std::uint64_t first_kept_revision_ = 0;
-    std::uint64_t last_lease_ = 100;
-    std::map<std::uint64_t, lease_entry> leases_;
+    content state_;
+    content copy_;
+    std::atomic<std::uint64_t> era_{1};
 };
 
 struct store_faults
@@ -303,8 +335,9 @@
 }
 
 // POST /control accepts the fields put {key: text or JSON value}, remove [keys],
-// down true|false, forget true (drops the history that watches read), delay_ms and
-// lose_replies (number of transactions whose responses are aborted).
+// down true|false, forget true (drops the history that watches read), copy true (keeps a
+// copy of the store), restore true (puts the copy in its place and starts the next era),
+// delay_ms and lose_replies (number of transactions whose responses are aborted).
 void add_control_handlers(httplib::Server& server, fleet_store& store,
                           store_faults& faults)
 {
@@ -325,6 +358,10 @@
                         change.value("lose_replies", faults.responses_to_lose.load());
                     if (change.value("forget", false))
                         store.drop_history();
+                    if (change.value("copy", false))
+                        store.save_copy();
+                    if (change.value("restore", false))
+                        store.restore_copy();
                     send_json(response, 200, json::object());
                 });
     server.set_pre_routing_handler(
@@ -333,6 +370,7 @@
             if (request.path == "/control")
                 return httplib::Server::HandlerResponse::Unhandled;
             std::this_thread::sleep_for(std::chrono::milliseconds(faults.delay_ms));
+            response.set_header("Store-Era", std::to_string(store.era()));
             if (!faults.down)
                 return httplib::Server::HandlerResponse::Unhandled;
             response.status = status_unavailable;
