Order the store's positions by era first, and list a restored store again

The class: a number that only grows within one life of its source is compared across lives.

Fix: a position is an era and a revision, ordered by era first, wherever revisions are compared: in the watches, in store sync between peers and in the change that heartbeats name. Keys that the restored store doesn't have are reported as removed. A response of an earlier era counts as none. A peer of an earlier era can't lead a daemon back; daemons of an earlier release send no era and count as one. What was in force stays in force: versions of the configuration and of adapters are still compared.

--- a/core/ids.hpp
+++ b/core/ids.hpp
@@ -55,6 +55,15 @@
 // Counts how often the store has been restored from a copy. Revisions of a later era are
 // newer, also if they are smaller.
 using store_era = strong_number<struct store_era_tag>;
+// A state of the store. Positions are ordered by era first: a restored store gives out
+// again the revisions that it has lost.
+struct store_position
+{
+    store_era era;
+    store_revision revision;
+
+    auto operator<=>(const store_position&) const = default;
+};
 // A number of generated or prompt tokens.
 using token_count = strong_number<struct token_count_tag>;
 
--- a/core/interfaces/platform_dialect.hpp
+++ b/core/interfaces/platform_dialect.hpp
@@ -118,8 +118,15 @@
     std::string value;
     store_revision revision;
     bool deleted = false;
+    // The store's era when the item was read.
+    store_era era;
 };
 
+inline store_position position_of(const store_item& item)
+{
+    return {item.era, item.revision};
+}
+
 // One page of the store's items or of their changes.
 struct store_page
 {
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -97,8 +97,11 @@
                 message.load_times.loads_at_full_speed}}};
     if (!message.has_endpoint_loads)
         body["partial"] = true;
-    if (message.operator_revision.value != 0)
-        body["rev"] = message.operator_revision.value;
+    if (message.operator_change != store_position{})
+    {
+        body["rev"] = message.operator_change.revision.value;
+        body["era"] = message.operator_change.era.value;
+    }
     for (const auto& [endpoint, limit] : message.request_limits)
         body["limits"][endpoint.value] = limit.per_second;
     return body;
@@ -183,7 +186,8 @@
             {"from", message.sender.value},
             {"to", message.reply_to.value},
             {"prefix", message.prefix},
-            {"after", message.after.value}};
+            {"after", message.after.revision.value},
+            {"era", message.after.era.value}};
 }
 
 json encode_body(const sync_chunk_message& message)
@@ -193,13 +197,15 @@
             {"from", message.sender.value},
             {"prefix", message.prefix},
             {"key", message.key},
-            {"rev", message.revision.value},
+            {"rev", message.position.revision.value},
+            {"era", message.position.era.value},
             {"deleted", message.deleted},
             {"size", message.value_bytes},
             {"offset", message.offset},
             {"bytes", json::binary(bytes)},
             {"items", message.item_count},
-            {"position", message.response_revision.value}};
+            {"position", message.response_position.revision.value},
+            {"position_era", message.response_position.era.value}};
 }
 
 json encode_body(const endpoint_limit_message& message)
@@ -243,6 +249,13 @@
     return {rate};
 }
 
+// Daemons of an earlier release send no eras.
+store_position decode_position(const json& body, const char* era, const char* revision)
+{
+    return {{body.value(era, std::uint64_t{0})},
+            {body.value(revision, std::uint64_t{0})}};
+}
+
 heartbeat_message decode_heartbeat(const json& body)
 {
     heartbeat_message message;
@@ -252,7 +265,7 @@
     message.store_silence = milliseconds(body.at("silence").get<long long>());
     message.endpoint_loads = decode_endpoint_loads(body.at("use"));
     message.has_endpoint_loads = !body.contains("partial");
-    message.operator_revision = {body.value("rev", std::uint64_t{0})};
+    message.operator_change = decode_position(body, "era", "rev");
     // Daemons of an earlier release don't send observations.
     if (body.contains("loads"))
         message.load_observations = decode_observations(body.at("loads"));
@@ -350,7 +363,7 @@
     sync_request_message message;
     message.reply_to = {body.at("to").get<std::string>()};
     message.prefix = body.at("prefix").get<std::string>();
-    message.after = {body.at("after").get<std::uint64_t>()};
+    message.after = decode_position(body, "era", "after");
     return message;
 }
 
@@ -359,14 +372,14 @@
     sync_chunk_message message;
     message.prefix = body.at("prefix").get<std::string>();
     message.key = body.at("key").get<std::string>();
-    message.revision = {body.at("rev").get<std::uint64_t>()};
+    message.position = decode_position(body, "era", "rev");
     message.deleted = body.at("deleted").get<bool>();
     message.value_bytes = body.at("size").get<std::size_t>();
     message.offset = body.at("offset").get<std::size_t>();
     const json::binary_t& bytes = body.at("bytes").get_binary();
     message.bytes.assign(bytes.begin(), bytes.end());
     message.item_count = body.at("items").get<std::size_t>();
-    message.response_revision = {body.at("position").get<std::uint64_t>()};
+    message.response_position = decode_position(body, "position_era", "position");
     return message;
 }
 
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -40,7 +40,7 @@
     bool ready = false;
     bool leaving = false;
     // The newest change of the operators' entries that the sender knows from the store.
-    store_revision operator_revision;
+    store_position operator_change;
     // Time since the store last responded to the sender.
     milliseconds store_silence{0};
     // The sender's load, by endpoint. Endpoints without load are left out. Some
@@ -153,13 +153,13 @@
     std::map<prompt_part_id, announced_block> blocked;
 };
 
-// Asks a peer for the store items below a prefix that changed after a revision.
+// Asks a peer for the store items below a prefix that changed after a position.
 struct sync_request_message
 {
     daemon_id sender;
     network_address reply_to;
     std::string prefix;
-    store_revision after;
+    store_position after;
 };
 
 // A chunk of a store item, in response to a sync_request_message.
@@ -168,7 +168,7 @@
     daemon_id sender;
     std::string prefix;
     std::string key;
-    store_revision revision;
+    store_position position;
     bool deleted = false;
     // Length of the complete value, and offset of this chunk in it, in bytes.
     std::size_t value_bytes = 0;
@@ -176,8 +176,8 @@
     std::string bytes;
     // Number of items in the complete response.
     std::size_t item_count = 0;
-    // The complete response covers all changes up to this revision.
-    store_revision response_revision;
+    // The complete response covers all changes up to this position.
+    store_position response_position;
 };
 
 // Tells peers the request limit that an endpoint has stated, or its end.
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -269,7 +269,7 @@
     if (const auto* heartbeat = std::get_if<heartbeat_message>(&message))
     {
         apply_heartbeat(context_.fleet, *heartbeat, now);
-        watcher_.operator_watch().on_peer_change(heartbeat->operator_revision);
+        watcher_.operator_watch().on_peer_change(heartbeat->operator_change);
         permits_.on_heartbeat(*heartbeat);
         for (const auto& [endpoint, load] : heartbeat->endpoint_loads)
             engine_controller_.record_adapter_usage(endpoint, load);
@@ -387,7 +387,7 @@
     message.ready = is_ready(context_);
     message.leaving = context_.leaving;
     message.store_silence = store_silence(context_);
-    message.operator_revision = watcher_.operator_watch().newest_change();
+    message.operator_change = watcher_.operator_watch().newest_change();
     message.load_observations = take_load_observations(context_);
     message.load_times = context_.fleet.load_times;
     message.request_limits = permits_.limits_to_report();
--- a/servers/gateway/gateway_context.hpp
+++ b/servers/gateway/gateway_context.hpp
@@ -48,6 +48,8 @@
     instant last_store_response{};
     // The highest era that the store has stated; 0 if it states none.
     store_era era;
+    // What was last wrong with a stated era; empty if nothing was.
+    std::string era_problem;
     // When the last store outage ended; zero if there was none.
     instant store_outage_ended{};
     // When the store last responded after it had been silent towards this daemon for
@@ -55,9 +57,10 @@
     instant store_silence_ended{};
 };
 
-// Records the store's era, and logs a change of it. An era that is lower than the one
-// known, or can't be read, changes nothing.
-void record_store_era(gateway_context& context, const http_head& head);
+// Records the era that the head of a store's response states, and logs a change of it.
+// One that can't be read changes nothing. Returns false if the response is of an earlier
+// era than the one known, so that it must not be used.
+bool record_store_era(gateway_context& context, const http_head& head);
 
 // Longer than the interval between two lease renewals, of which one may get no response.
 constexpr milliseconds max_store_response_gap{1000};
--- a/servers/gateway/store_client.hpp
+++ b/servers/gateway/store_client.hpp
@@ -8,7 +8,8 @@
 {
 
 // A connection to the store. Each response also tells the store's era, which is recorded
-// before the response is evaluated.
+// before the response is evaluated. A response of an earlier era than the one known
+// counts as none.
 class store_client
 {
 public:
@@ -24,8 +25,9 @@
         client_.call(call.bytes, timeout,
                      [this, done = std::move(done)](const http_result& result)
                      {
-                         if (result.has_response)
-                             record_store_era(context_, result.head);
+                         if (result.has_response &&
+                             !record_store_era(context_, result.head))
+                             return done({});
                          done(result);
                      });
     }
--- a/servers/gateway/store_sync.cpp
+++ b/servers/gateway/store_sync.cpp
@@ -68,11 +68,11 @@
     last_request_sent_ = now;
     for (auto& [prefix, synced] : watches_)
     {
-        synced.known_revision =
-            std::max(synced.known_revision, synced.watch->known_revision());
+        synced.known_position =
+            std::max(synced.known_position, synced.watch->known_position());
         send_(peer,
               sync_request_message{context_.settings.id, context_.settings.peer_address,
-                                   prefix, synced.known_revision});
+                                   prefix, synced.known_position});
     }
 }
 
@@ -82,20 +82,20 @@
     if (found == watches_.end() || !found->second.watch->is_loaded())
         return;
     const store_watch& watch = *found->second.watch;
-    if (watch.known_revision() <= request.after)
+    if (watch.known_position() <= request.after)
         return;
     std::vector<const store_item*> newer;
     for (const auto& [key, item] : watch.items())
-        if (item.revision > request.after)
+        if (position_of(item) > request.after)
             newer.push_back(&item);
     sync_chunk_message response;
     response.sender = context_.settings.id;
     response.prefix = request.prefix;
-    response.response_revision = watch.known_revision();
+    response.response_position = watch.known_position();
     response.item_count = newer.size();
     for (const store_item* item : newer)
         send_item(request.reply_to, request.prefix, *item, response);
-    if (request.after.value == 0 &&
+    if (request.after == store_position{} &&
         request.prefix == context_.dialect.layout.endpoint_prefix)
         send_inventories(request.reply_to);
 }
@@ -119,7 +119,7 @@
     sync_chunk_message chunk = response;
     chunk.prefix = prefix;
     chunk.key = item.key;
-    chunk.revision = item.revision;
+    chunk.position = position_of(item);
     chunk.deleted = item.deleted;
     chunk.value_bytes = item.value.size();
     do
@@ -134,20 +134,20 @@
 {
     const auto found = watches_.find(chunk.prefix);
     if (found == watches_.end() ||
-        chunk.response_revision <= found->second.known_revision)
+        chunk.response_position <= found->second.known_position)
         return;
     synced_watch& synced = found->second;
-    if (chunk.response_revision != synced.response_revision)
+    if (chunk.response_position != synced.response_position)
     {
-        synced.response_revision = chunk.response_revision;
+        synced.response_position = chunk.response_position;
         synced.completed_keys.clear();
         synced.partial_items.clear();
     }
     if (synced.completed_keys.contains(chunk.key))
         return;
     partial_item& partial = synced.partial_items[chunk.key];
-    if (partial.revision != chunk.revision)
-        partial = {chunk.revision, 0, {}};
+    if (partial.position != chunk.position)
+        partial = {chunk.position, 0, {}};
     if (partial.chunks.emplace(chunk.offset, chunk.bytes).second)
         partial.received += chunk.bytes.size();
     if (partial.received < chunk.value_bytes)
@@ -163,16 +163,17 @@
 {
     synced.partial_items.erase(last.key);
     synced.completed_keys.insert(last.key);
-    synced.watch->apply_from_peer({last.key, value, last.revision, last.deleted});
+    synced.watch->apply_from_peer(
+        {last.key, value, last.position.revision, last.deleted, last.position.era});
     if (synced.completed_keys.size() < last.item_count)
         return;
-    synced.known_revision = last.response_revision;
+    synced.known_position = last.response_position;
     context_.log.write(
         "learned from peer",
         {{"peer", last.sender.value},
          {"prefix", last.prefix},
          {"items", static_cast<std::int64_t>(last.item_count)},
-         {"position", static_cast<std::int64_t>(last.response_revision.value)}});
+         {"position", static_cast<std::int64_t>(last.response_position.revision.value)}});
 }
 
 } // namespace pollenhaven
--- a/servers/gateway/store_sync.hpp
+++ b/servers/gateway/store_sync.hpp
@@ -39,7 +39,7 @@
     // An item of which some chunks haven't arrived yet.
     struct partial_item
     {
-        store_revision revision;
+        store_position position;
         std::size_t received = 0;
         std::map<std::size_t, std::string> chunks;
     };
@@ -47,10 +47,10 @@
     struct synced_watch
     {
         store_watch* watch = nullptr;
-        // All changes up to this revision are known.
-        store_revision known_revision;
-        // The response that is being received covers all changes up to this revision.
-        store_revision response_revision;
+        // All changes up to this position are known.
+        store_position known_position;
+        // The response that is being received covers all changes up to this position.
+        store_position response_position;
         // Keys of its items that have arrived completely.
         std::set<std::string> completed_keys;
         std::map<std::string, partial_item> partial_items;
--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -56,33 +56,44 @@
     if (!call_sent_at_)
         return;
     const bool is_behind = is_behind_peers();
-    if (!is_behind && *call_sent_at_ >= context_.store_silence_ended)
+    const bool is_outdated = loaded_ && is_in_older_era();
+    if (!is_behind && !is_outdated && *call_sent_at_ >= context_.store_silence_ended)
         return;
     if (is_behind)
         ++repeated_calls_;
-    context_.log.write(
-        "store call repeated",
-        {{"prefix", prefix_},
-         {"reason", is_behind ? "peers know a newer change" : "the store was silent"}});
+    std::string reason = "the store was silent";
+    if (is_outdated)
+        reason = "the store was restored";
+    else if (is_behind)
+        reason = "peers know a newer change";
+    context_.log.write("store call repeated", {{"prefix", prefix_}, {"reason", reason}});
     client_.cancel_all();
-    if (loaded_)
+    if (is_outdated)
+        list_again();
+    else if (loaded_)
         wait_for_changes();
     else
         read_page("");
 }
 
-void store_watch::on_peer_change(store_revision revision)
+void store_watch::list_again()
 {
-    if (revision <= peer_change_)
+    loaded_ = false;
+    read_page("");
+}
+
+void store_watch::on_peer_change(store_position position)
+{
+    if (position <= peer_change_)
         return;
-    peer_change_ = revision;
+    peer_change_ = position;
     peer_change_heard_at_ = context_.loop.now();
 }
 
 bool store_watch::is_behind_peers() const
 {
     const instant now = context_.loop.now();
-    return loaded_ && peer_change_ > known_revision_ &&
+    return loaded_ && peer_change_ > known_position_ &&
            now - peer_change_heard_at_ >= change_propagation_time &&
            now - *call_sent_at_ >=
                min_call_age * (1 << std::min(repeated_calls_, max_doublings));
@@ -118,8 +129,8 @@
 {
     if (after.empty())
     {
-        listed_revisions_.clear();
-        listing_revision_ = {};
+        listed_keys_.clear();
+        listing_position_.reset();
     }
     const milliseconds timeout =
         first_page_timeout * (1 << std::min(failures_, max_doublings));
@@ -135,12 +146,15 @@
     {
         const store_page page = context_.dialect.read_page(result.body);
         on_store_response();
-        if (listing_revision_.value == 0)
-            listing_revision_ = page.current;
-        for (const store_item& item : page.items)
+        if (!listing_position_)
+            listing_position_ = {context_.era, page.current};
+        if (listing_position_->era != context_.era)
+            return read_page("");
+        for (store_item item : page.items)
         {
-            listed_revisions_[item.key] = item.revision;
-            newest_change_ = std::max(newest_change_, item.revision);
+            item.era = context_.era;
+            listed_keys_.insert(item.key);
+            newest_change_ = std::max(newest_change_, position_of(item));
             apply(item);
         }
         if (page.more && !page.items.empty())
@@ -155,11 +169,11 @@
 
 void store_watch::finish_listing()
 {
-    const std::map<std::string, store_revision> revisions = revisions_;
-    for (const auto& [key, revision] : revisions)
-        if (!listed_revisions_.contains(key) && revision <= listing_revision_)
-            apply({key, "", listing_revision_, true});
-    known_revision_ = listing_revision_;
+    const std::map<std::string, store_position> positions = positions_;
+    for (const auto& [key, position] : positions)
+        if (!listed_keys_.contains(key) && position <= *listing_position_)
+            apply({key, "", listing_position_->revision, true, listing_position_->era});
+    known_position_ = *listing_position_;
     loaded_ = true;
     if (resynced_)
         resynced_();
@@ -168,23 +182,27 @@
 
 void store_watch::apply(const store_item& item)
 {
-    const auto found = revisions_.find(item.key);
-    if (found != revisions_.end() && item.revision <= found->second)
+    const store_position position = position_of(item);
+    const auto found = positions_.find(item.key);
+    if (found != positions_.end() && position <= found->second)
     {
-        if (item.revision < found->second)
+        if (position < found->second)
             context_.log.write(
                 "older change ignored",
                 {{"key", item.key},
+                 {"era", static_cast<std::int64_t>(item.era.value)},
                  {"revision", static_cast<std::int64_t>(item.revision.value)},
-                 {"known", static_cast<std::int64_t>(found->second.value)}});
+                 {"known_era", static_cast<std::int64_t>(found->second.era.value)},
+                 {"known_revision",
+                  static_cast<std::int64_t>(found->second.revision.value)}});
         return;
     }
-    if (item.deleted && found == revisions_.end())
+    if (item.deleted && found == positions_.end())
         return;
     if (item.deleted)
-        revisions_.erase(found);
+        positions_.erase(found);
     else
-        revisions_[item.key] = item.revision;
+        positions_[item.key] = position;
     if (retains_items_)
         items_[item.key] = item;
     changed_(item);
@@ -192,7 +210,7 @@
 
 void store_watch::wait_for_changes()
 {
-    send(context_.dialect.watch_call(prefix_, known_revision_, timing_.wait),
+    send(context_.dialect.watch_call(prefix_, known_position_.revision, timing_.wait),
          timing_.wait + watch_call_margin,
          [this](const http_result& result) { on_changes(result); });
 }
@@ -202,21 +220,23 @@
     if (result.has_response && result.status == status_gone)
     {
         context_.log.write("store history lost", {{"prefix", prefix_}});
-        loaded_ = false;
-        return read_page("");
+        return list_again();
     }
+    if (result.has_response && is_in_older_era())
+        return list_again();
     if (!result.has_response || result.status != status_ok)
         return retry("no changes", result.status);
     try
     {
         const store_page page = context_.dialect.read_watch(result.body);
         on_store_response();
-        for (const store_item& item : page.items)
+        for (store_item item : page.items)
         {
-            newest_change_ = std::max(newest_change_, item.revision);
+            item.era = context_.era;
+            newest_change_ = std::max(newest_change_, position_of(item));
             apply(item);
         }
-        known_revision_ = std::max(known_revision_, page.current);
+        known_position_ = std::max(known_position_, {context_.era, page.current});
         if (page.items.empty() || timing_.pause.count() == 0)
             return wait_for_changes();
         context_.loop.schedule_after(timing_.pause, [this] { wait_for_changes(); });
--- a/servers/gateway/store_watch.hpp
+++ b/servers/gateway/store_watch.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 
 namespace pollenhaven
@@ -21,8 +22,9 @@
 };
 
 // Watches all keys below a prefix: lists them once, then waits for changes, and lists
-// them again if the store no longer has the history since the last known revision. The
-// changes of a key are reported in the order of their revisions, none of them twice.
+// them again if the store no longer has the history since the last known revision, or has
+// been restored. The changes of a key are reported in the order of their positions, none
+// of them twice.
 class store_watch
 {
 public:
@@ -43,18 +45,19 @@
     // The items by key; empty without retain_items().
     const std::map<std::string, store_item>& items() const { return items_; }
     const std::string& prefix() const { return prefix_; }
-    // All changes up to this revision are known.
-    store_revision known_revision() const { return known_revision_; }
-    // The revision of the newest change that a response of the store contained.
-    store_revision newest_change() const { return newest_change_; }
+    // All changes up to this position are known.
+    store_position known_position() const { return known_position_; }
+    // The position of the newest change that a response of the store contained.
+    store_position newest_change() const { return newest_change_; }
     // Must be called with the newest change that a peer's watch of the prefix has
     // received.
-    void on_peer_change(store_revision revision);
-    // Applies a change that a peer sent, unless the key exists with the same or a newer
-    // revision.
+    void on_peer_change(store_position position);
+    // Applies a change that a peer sent, unless the key is known at the same or a later
+    // position.
     void apply_from_peer(const store_item& item) { apply(item); }
 
 private:
+    void list_again();
     void read_page(const std::string& after);
     void on_page(const http_result& result);
     void finish_listing();
@@ -68,6 +71,8 @@
     // Sends the pending call again on a new connection if its response may never come,
     // although the store responds to other calls.
     void check_pending_call();
+    // Whether the store has been restored since the listing began.
+    bool is_in_older_era() const { return known_position_.era < context_.era; }
     // Whether peers have known of a newer change for so long that the pending call must
     // have been lost.
     bool is_behind_peers() const;
@@ -79,22 +84,22 @@
     change_handler changed_;
     std::function<void()> resynced_;
     store_client client_;
-    // Revisions of the keys that exist, by key.
-    std::map<std::string, store_revision> revisions_;
+    // Positions of the keys that exist, by key.
+    std::map<std::string, store_position> positions_;
     bool retains_items_ = false;
     std::map<std::string, store_item> items_;
-    // Revisions of the keys in the listing in progress, by key.
-    std::map<std::string, store_revision> listed_revisions_;
-    // The store's revision when the listing started.
-    store_revision listing_revision_;
-    store_revision known_revision_;
+    // The keys in the listing in progress.
+    std::set<std::string> listed_keys_;
+    // The store's position when the listing started; none before its first response.
+    std::optional<store_position> listing_position_;
+    store_position known_position_;
     bool loaded_ = false;
     int failures_ = 0;
     // When the pending call was sent; none if no call is pending.
     std::optional<instant> call_sent_at_;
-    store_revision newest_change_;
+    store_position newest_change_;
     // The newest change that a peer has reported, and when this daemon first heard of it.
-    store_revision peer_change_;
+    store_position peer_change_;
     instant peer_change_heard_at_{};
     // Calls sent again for that reason since the last response.
     int repeated_calls_ = 0;
--- a/tests/contract/fleet_wire_test.cpp
+++ b/tests/contract/fleet_wire_test.cpp
@@ -122,11 +122,11 @@
     heartbeat.store_silence = milliseconds(1234);
     heartbeat.endpoint_loads[{"i-1"}] = {3, 2400, {{{"base/a1"}, 2}}, {{{"base/a2"}, 5}}};
     heartbeat.load_observations = {{70, milliseconds(310), true}};
-    heartbeat.operator_revision = {42};
+    heartbeat.operator_change = {{2}, {42}};
     const fleet_message decoded = decode(encode(heartbeat));
     const auto& decoded_heartbeat = std::get<heartbeat_message>(decoded);
     BOOST_TEST(decoded_heartbeat.sender.value == "daemon-1");
-    BOOST_TEST(decoded_heartbeat.operator_revision.value == 42U);
+    BOOST_TEST((decoded_heartbeat.operator_change == heartbeat.operator_change));
     BOOST_TEST(decoded_heartbeat.store_silence.count() == 1234);
     BOOST_TEST(decoded_heartbeat.endpoint_loads.at({"i-1"}).pending_prefill_tokens ==
                2400);
@@ -180,26 +180,28 @@
     BOOST_TEST(parts.blocked.at({"blocked"}).trials == 1);
     BOOST_TEST(parts.blocked.at({"blocked"}).next_trial_in.count() == 50);
 
-    const fleet_message decoded_sync_request =
-        decode(encode(sync_request_message{{"daemon-1"}, {"127.0.0.1:1"}, "op/", {7}}));
+    const fleet_message decoded_sync_request = decode(
+        encode(sync_request_message{{"daemon-1"}, {"127.0.0.1:1"}, "op/", {{2}, {7}}}));
     BOOST_TEST(std::get<sync_request_message>(decoded_sync_request).reply_to.value ==
                "127.0.0.1:1");
-    BOOST_TEST(std::get<sync_request_message>(decoded_sync_request).after.value == 7U);
+    BOOST_TEST((std::get<sync_request_message>(decoded_sync_request).after ==
+                store_position{{2}, {7}}));
 
     sync_chunk_message chunk;
     chunk.sender = {"daemon-1"};
     chunk.key = "op/config";
-    chunk.revision = {8};
+    chunk.position = {{2}, {8}};
     chunk.value_bytes = 9;
     chunk.offset = 4;
     chunk.bytes = std::string("\xff\x00\x80", 3);
     chunk.item_count = 2;
-    chunk.response_revision = {11};
+    chunk.response_position = {{3}, {11}};
     const fleet_message decoded_chunk = decode(encode(chunk));
     const auto& received_chunk = std::get<sync_chunk_message>(decoded_chunk);
     BOOST_TEST(received_chunk.bytes == chunk.bytes);
     BOOST_TEST(received_chunk.offset == 4U);
-    BOOST_TEST(received_chunk.response_revision.value == 11U);
+    BOOST_TEST((received_chunk.position == chunk.position));
+    BOOST_TEST((received_chunk.response_position == chunk.response_position));
 }
 
 BOOST_AUTO_TEST_CASE(decoding_a_malformed_peer_message_throws)
--- a/tests/contract/store_sync_test.cpp
+++ b/tests/contract/store_sync_test.cpp
@@ -58,12 +58,12 @@
         chunk.sender = {"peer"};
         chunk.prefix = prefix;
         chunk.key = key;
-        chunk.revision = {revision};
+        chunk.position.revision = {revision};
         chunk.value_bytes = value.size();
         chunk.offset = offset;
         chunk.bytes = value.substr(offset, size);
         chunk.item_count = 1;
-        chunk.response_revision = {revision};
+        chunk.response_position = {{}, {revision}};
         chunks.push_back(chunk);
     }
     return chunks;
@@ -111,7 +111,7 @@
     BOOST_REQUIRE(daemon.sent.size() == 1U);
     const auto& request = std::get<sync_request_message>(daemon.sent.front());
     BOOST_TEST(request.prefix == prefix);
-    BOOST_TEST(request.after.value == 0U);
+    BOOST_TEST((request.after == store_position{}));
     BOOST_TEST(request.reply_to.value == "127.0.0.1:1");
 }
 
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -92,6 +92,100 @@
     }
 };
 
+// A store that answers listings and watches with what it holds. Watches without changes
+// wait for good.
+struct scripted_store
+{
+    event_loop& loop;
+    network_address address{"127.0.0.1:" + std::to_string(harness::free_port())};
+    std::string era = "1";
+    std::uint64_t revision = 0;
+    // The revision of each key that exists.
+    std::map<std::string, std::uint64_t> items;
+    // Changes with which the next watch is answered.
+    std::map<std::string, std::uint64_t> changes;
+    int listings = 0;
+
+    explicit scripted_store(event_loop& shared_loop) : loop(shared_loop)
+    {
+        loop.listen(address,
+                    [this](stream_id id)
+                    {
+                        stream_handlers handlers;
+                        handlers.readable = [this](stream_id from) { answer(from); };
+                        loop.set_handlers(id, std::move(handlers));
+                    });
+    }
+
+    static std::string list(const std::map<std::string, std::uint64_t>& entries)
+    {
+        std::string text;
+        for (const auto& [key, at] : entries)
+            text += (text.empty() ? "" : ",") + (R"({"key":")" + key) +
+                    R"(","value":"","revision":)" + std::to_string(at) + "}";
+        return "[" + text + "]";
+    }
+
+    void answer(stream_id from)
+    {
+        const std::string request = std::exchange(loop.input(from), "");
+        const bool is_listing = request.find("kv-range") != std::string::npos;
+        listings += is_listing ? 1 : 0;
+        if (!is_listing && changes.empty())
+            return;
+        const std::string body = R"({"items":)" + list(items) + R"(,"events":)" +
+                                 list(std::exchange(changes, {})) + R"(,"currentRev":)" +
+                                 std::to_string(revision) + "}";
+        loop.send(from, "HTTP/1.1 200 OK\r\nStore-Era: " + era + "\r\nContent-Length: " +
+                            std::to_string(body.size()) + "\r\n\r\n" + body);
+    }
+};
+
+// A daemon's watch that has listed a store with the keys op/a and op/b.
+struct listed_watch
+{
+    gateway_context context{
+        settings_for({"127.0.0.1:1"}),
+        plugin_registry<platform_dialect>::instance().make("fleet", "")};
+    scripted_store store{context.loop};
+    std::vector<store_item> received;
+    std::optional<store_watch> watch;
+
+    listed_watch()
+    {
+        store.items = {{"op/a", 40}, {"op/b", 50}};
+        store.revision = 50;
+        context.settings.store_address = store.address;
+        watch.emplace(context, "op/", watch_timing{},
+                      [this](const store_item& item) { received.push_back(item); });
+        run_until([this] { return watch->is_loaded(); }, seconds(2));
+        received.clear();
+    }
+
+    void run_until(const std::function<bool()>& done, milliseconds limit)
+    {
+        const instant end = boot_clock::now() + limit;
+        context.loop.schedule(end, [] {});
+        context.loop.run([&] { return done() || boot_clock::now() > end; });
+    }
+
+    // What another call of the daemon learns from the store's response.
+    void hear_era(const std::string& era)
+    {
+        http_head head;
+        head.fields = {{"Store-Era", era}};
+        record_store_era(context, head);
+    }
+
+    bool has_received(const std::string& key, bool deleted) const
+    {
+        for (const store_item& item : received)
+            if (item.key == key && item.deleted == deleted)
+                return true;
+        return false;
+    }
+};
+
 // The users' bound for a configuration to be in force.
 constexpr milliseconds configuration_bound{2000};
 
@@ -138,18 +232,88 @@
 BOOST_FIXTURE_TEST_CASE(a_watch_is_sent_again_if_peers_know_a_newer_change,
                         silenced_watch)
 {
-    watch->on_peer_change({7});
+    watch->on_peer_change({{}, {7}});
     run_until([] { return false; }, milliseconds(700));
     BOOST_TEST(store.connections == 1);
-    watch->on_peer_change({9});
+    watch->on_peer_change({{}, {9}});
     run_until([this] { return changes > 0; }, configuration_bound);
     BOOST_TEST(changes == 1);
-    BOOST_TEST(watch->newest_change().value == 9U);
+    BOOST_TEST(watch->newest_change().revision.value == 9U);
     // A peer that claims to know more than the store has costs a call now and then, no
     // flood.
-    watch->on_peer_change({1000});
+    watch->on_peer_change({{}, {1000}});
     run_until([] { return false; }, seconds(4));
     BOOST_TEST(store.connections <= 5);
 }
 
+// Guards against changes of a restored store that are taken for old ones, because their
+// revisions are lower than those known from before (CONFIG).
+BOOST_FIXTURE_TEST_CASE(a_restored_store_is_listed_again_and_its_revisions_count,
+                        listed_watch)
+{
+    store.era = "2";
+    store.items = {{"op/a", 7}};
+    store.revision = 7;
+    hear_era("2");
+    run_until([this] { return store.listings == 2 && watch->is_loaded(); },
+              configuration_bound);
+    BOOST_TEST(has_received("op/a", false));
+    BOOST_TEST(has_received("op/b", true));
+    BOOST_TEST((watch->known_position() == store_position{{2}, {7}}));
+}
+
+// Guards against changes that are missed if the restored store has counted past the
+// revision from which a daemon asks: there is no 410 then.
+BOOST_FIXTURE_TEST_CASE(a_response_of_a_new_era_to_an_old_watch_leads_to_a_listing,
+                        listed_watch)
+{
+    store.era = "2";
+    store.items = {{"op/a", 7}, {"op/c", 60}};
+    store.revision = 60;
+    context.store_silence_ended = context.loop.now() + seconds(1);
+    store.changes = {{"op/c", 60}};
+    run_until([this] { return has_received("op/a", false); }, configuration_bound);
+    BOOST_TEST(has_received("op/a", false));
+    BOOST_TEST(has_received("op/b", true));
+    BOOST_TEST(has_received("op/c", false));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_response_of_an_earlier_era_is_not_used, listed_watch)
+{
+    hear_era("3");
+    run_until([] { return false; }, seconds(1));
+    BOOST_TEST(!watch->is_loaded());
+    BOOST_TEST(received.empty());
+    store.era = "3";
+    run_until([this] { return watch->is_loaded(); }, seconds(3));
+    BOOST_TEST(watch->is_loaded());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_missing_or_malformed_era_changes_nothing, listed_watch)
+{
+    for (const char* const era : {"", "two", "-1", "2.5"})
+        hear_era(era);
+    BOOST_TEST(context.era.value == 1U);
+    run_until([] { return false; }, milliseconds(600));
+    BOOST_TEST(watch->is_loaded());
+    BOOST_TEST(store.listings == 1);
+}
+
+// Guards against a peer of an earlier era that leads a daemon back.
+BOOST_FIXTURE_TEST_CASE(a_peers_change_of_an_earlier_era_is_no_news, listed_watch)
+{
+    store.era = "2";
+    store.items = {{"op/a", 7}};
+    store.revision = 7;
+    hear_era("2");
+    run_until([this] { return store.listings == 2 && watch->is_loaded(); },
+              configuration_bound);
+    received.clear();
+    watch->apply_from_peer({"op/a", "old", {40}, false, {1}});
+    watch->on_peer_change({{1}, {90}});
+    run_until([] { return false; }, seconds(2));
+    BOOST_TEST(received.empty());
+    BOOST_TEST(store.listings == 2);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
