Two holders after a restored store: new leases, delayed permissions, tokens by era

A restored store has forgotten the last claims of engines and leases. It names an earlier holder again, so two daemons could order one engine, and later claims had lower fencing tokens than the lost ones (ONE).

Fix: the token is the era above the revision (in the first era the revision, as before). On the first sight of a new era a daemon renounces its lease, takes another one and writes its member entry only once it has listed the restored store's claims, on the condition that they hold. A holder whose lease was valid until then and whose claim the store still has continues. Any other permission waits, from the first sight of the era on, for the time in which a forgotten holder may still order: a lease time and the maximum order delay. Heartbeats tell the era and for how long it has been known: a daemon started later waits no longer than the others, and a peer that has seen a later era confirms no outage.

Evidence: orders_keep_a_minimum_gap_also_when_the_store_is_restored restores the model's store to copies of up to nine seconds ago between pauses, cuts, isolation, restarts and outages.

--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -37,6 +37,8 @@
     std::optional<instant> lease_ended_at;
     // The time since the store last responded to the member, as of its last heartbeat.
     milliseconds store_silence{0};
+    // The era of the store that the member has seen, as of its last heartbeat.
+    store_era era;
     // Endpoints at which this daemon knows a load of the member.
     std::set<endpoint_id> loaded_endpoints;
 };
@@ -139,6 +141,8 @@
     std::map<endpoint_id, endpoint_view> endpoints;
     std::map<daemon_id, member_view> members;
     std::map<adapter_id, known_version> versions;
+    // The latest era that the store has stated to this daemon; 0 if it states none.
+    store_era era;
     // What this daemon and its peers have learned about the weight store.
     load_time_model load_times;
     // Loads in progress at all engines, as of the last count_loads_in_progress().
--- a/policy/fleet/order_permission.cpp
+++ b/policy/fleet/order_permission.cpp
@@ -14,6 +14,9 @@
 constexpr milliseconds heartbeat_lifetime{650};
 // A confirmed outage extends the lease to this long after the confirmation.
 constexpr milliseconds outage_extension{400};
+// The bits of a fencing token that hold the revision. With the eras above it, a token is
+// still a whole number in a JSON body, which has 53 bits.
+constexpr int token_revision_bits = 40;
 
 // Returns the number of members that rank before this daemon for the endpoint.
 int rank_of_self(const fleet_view& fleet, const endpoint_id& endpoint)
@@ -38,6 +41,19 @@
     return {token, lease_ended_at + timing.lease_time + timing.min_order_gap};
 }
 
+std::uint64_t fencing_token(store_position claim)
+{
+    const std::uint64_t restores = claim.era.value > 0 ? claim.era.value - 1 : 0;
+    return (restores << token_revision_bits) + claim.revision.value;
+}
+
+void delay_after_restore(order_permission& permission, instant era_seen_at,
+                         const takeover_timing& timing)
+{
+    permission.valid_from = std::max(
+        permission.valid_from, era_seen_at + timing.lease_time + timing.min_order_gap);
+}
+
 bool is_taken_over(const holder_record& holder)
 {
     return !holder.previous.empty() && holder.previous != holder.daemon;
@@ -88,8 +104,10 @@
     {
         if (id == fleet.self || !member.known_from_store)
             continue;
+        // A member that has seen a later era knows of a restored store, which may have
+        // forgotten this daemon's lease.
         if (now - member.last_message_at > heartbeat_lifetime ||
-            member.store_silence < store_outage_threshold)
+            member.store_silence < store_outage_threshold || member.era > fleet.era)
             return std::nullopt;
         oldest = std::min(oldest, member.last_message_at);
         ++confirmations;
--- a/policy/fleet/order_permission.hpp
+++ b/policy/fleet/order_permission.hpp
@@ -16,7 +16,7 @@
 // The permission to send orders to one engine.
 struct order_permission
 {
-    // Fencing token: the store revision of the claim, which increases with each holder.
+    // Fencing token; increases with each holder.
     std::uint64_t token = 0;
     // When the permission becomes valid. Before, orders of an earlier holder may still
     // arrive at the engine.
@@ -33,6 +33,8 @@
     // An earlier holder whose orders may still be in transit. There is none if this is
     // empty or the holder itself.
     daemon_id previous;
+    // The store's era when the entry was read.
+    store_era era;
 };
 
 // The waiting times before a daemon claims an engine of another holder and sends orders
@@ -62,6 +64,17 @@
                                        instant lease_ended_at,
                                        const takeover_timing& timing, instant now);
 
+// Returns the fencing token of a claim at this position of the store. Later claims have
+// larger tokens, also after the store was restored. In the first era the token is the
+// revision.
+std::uint64_t fencing_token(store_position claim);
+
+// Delays a permission that was granted in the era of a restored store, which this daemon
+// first saw at `era_seen_at`: the store may have forgotten a claim of another daemon,
+// which may send orders until its lease of the earlier era has ended.
+void delay_after_restore(order_permission& permission, instant era_seen_at,
+                         const takeover_timing& timing);
+
 // Returns true if the engine was taken over from another daemon, whose orders may still
 // be in transit.
 bool is_taken_over(const holder_record& holder);
@@ -92,7 +105,7 @@
 
 // Returns the time up to which every other member has confirmed that the store does not
 // respond to it; none if there are no other members, if one of them has not sent a
-// heartbeat recently, or if one of them reaches the store.
+// heartbeat recently, or if one of them reaches the store or has seen a later era of it.
 std::optional<instant> outage_confirmed_until(const fleet_view& fleet, instant now);
 
 // Extends the lease to a short time after `confirmed_until`, a time up to which all
--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -51,6 +51,7 @@
     if (item.deleted || result.daemon.empty())
         return std::nullopt;
     result.revision = item.revision;
+    result.era = item.era;
     result.previous = {string_field(entry, "previous")};
     return result;
 }
@@ -87,8 +88,10 @@
     const order_permission* const permission = permission_for(endpoint);
     // The clock is read here, because the process may have been paused since the loop set
     // now().
-    return permission != nullptr && may_order(*permission, lease_validity_,
-                                              context_.settings.lease, boot_clock::now());
+    return permission != nullptr && handled_era_ == context_.fleet.era &&
+           !unconfirmed_permissions_.contains(endpoint) &&
+           may_order(*permission, lease_validity_, context_.settings.lease,
+                     boot_clock::now());
 }
 
 takeover_timing fleet_membership::timing() const
@@ -103,6 +106,12 @@
 {
     context_.loop.schedule_after(context_.settings.lease_renewal_interval,
                                  [this] { renew_lease(); });
+    handle_new_era();
+    send_lease_call();
+}
+
+void fleet_membership::send_lease_call()
+{
     if (lease_call_pending_)
         return;
     lease_call_pending_ = true;
@@ -118,9 +127,39 @@
                      { on_lease_renewed(result, sent); });
 }
 
+void fleet_membership::handle_new_era()
+{
+    if (handled_era_ == context_.fleet.era)
+        return;
+    const bool was_valid =
+        handled_era_.value > 0 &&
+        is_lease_valid(lease_validity_, context_.settings.lease, boot_clock::now());
+    handled_era_ = context_.fleet.era;
+    if (!context_.era_seen_at)
+        return;
+    for (const auto& [endpoint, permission] : permissions_)
+        unconfirmed_permissions_.insert(endpoint);
+    if (!was_valid)
+        for (const endpoint_id& endpoint : std::exchange(unconfirmed_permissions_, {}))
+        {
+            permissions_.erase(endpoint);
+            permission_changed_(endpoint);
+        }
+    context_.log.write(
+        "lease renounced",
+        {{"lease", static_cast<std::int64_t>(lease_)},
+         {"era", static_cast<std::int64_t>(handled_era_.value)},
+         {"permissions", static_cast<std::int64_t>(unconfirmed_permissions_.size())}});
+    lease_ = 0;
+    lease_validity_ = {};
+    member_entry_written_ = false;
+    restart_takeover_timers(context_.fleet, boot_clock::now());
+}
+
 void fleet_membership::on_lease_granted(const http_result& result, instant sent)
 {
     lease_call_pending_ = false;
+    handle_new_era();
     if (!result.has_response || result.status != status_ok)
         return;
     try
@@ -140,6 +179,9 @@
 void fleet_membership::on_lease_renewed(const http_result& result, instant sent)
 {
     lease_call_pending_ = false;
+    handle_new_era();
+    if (lease_ == 0)
+        return send_lease_call();
     if (!result.has_response)
         return;
     if (result.status == status_ok || result.status == status_not_found)
@@ -168,6 +210,10 @@
 
 void fleet_membership::write_member_entry(instant lease_sent)
 {
+    // The claims that the restored store has must be known first, so that the entry is
+    // written on the condition that they still hold.
+    if (context_.era_seen_at && !watch_.is_loaded())
+        return;
     const nlohmann::json value{{"callers", context_.settings.caller_address.value},
                                {"peers", context_.settings.peer_address.value},
                                {"zone", context_.settings.zone},
@@ -180,8 +226,11 @@
             transaction.expected.push_back(
                 {holder_prefix + endpoint.value, holders_.at(endpoint).revision});
     client_.call(context_.dialect.transaction_call(transaction), write_timeout,
-                 [this, lease_sent](const http_result& result)
+                 [this, lease_sent, era = handled_era_](const http_result& result)
                  {
+                     handle_new_era();
+                     if (handled_era_ != era)
+                         return;
                      member_entry_written_ =
                          result.has_response && result.status == status_ok;
                      if (member_entry_written_)
@@ -201,6 +250,7 @@
 
 void fleet_membership::run_periodic_work()
 {
+    handle_new_era();
     const instant now = context_.loop.now();
     if (store_silence(context_) > context_.settings.lease.margin)
     {
@@ -335,14 +385,28 @@
         member != context_.fleet.members.end() && member->second.lease_ended_at
             ? *member->second.lease_ended_at
             : now;
-    permissions_[endpoint] = make_order_permission(
-        holder.revision.value, is_taken_over(holder), lease_ended_at, timing(), now);
+    order_permission& permission = permissions_[endpoint];
+    permission =
+        make_order_permission(fencing_token({holder.era, holder.revision}),
+                              is_taken_over(holder), lease_ended_at, timing(), now);
+    if (context_.era_seen_at)
+        delay_after_restore(permission, *context_.era_seen_at, timing());
 }
 
 void fleet_membership::on_holder(const endpoint_id& endpoint, const store_item& item)
 {
-    const bool had_permission = permissions_.erase(endpoint) > 0;
+    handle_new_era();
     const std::optional<holder_record> entry = decode_holder(item);
+    const std::uint64_t token = fencing_token(position_of(item));
+    const bool is_own = entry && entry->daemon == context_.settings.id &&
+                        entry->incarnation == context_.incarnation;
+    const auto known = holders_.find(endpoint);
+    const bool continues = unconfirmed_permissions_.erase(endpoint) > 0 && is_own &&
+                           known != holders_.end() &&
+                           known->second.revision == entry->revision;
+    const bool had_permission = !continues && permissions_.erase(endpoint) > 0;
+    if (continues)
+        permissions_.at(endpoint).token = token;
     if (entry)
         holders_[endpoint] = *entry;
     else
@@ -354,18 +418,16 @@
     if (!endpoint_known)
         view.gone_at = instant{};
     view.holder = entry ? entry->daemon : daemon_id{};
-    view.holder_token = item.revision.value;
+    view.holder_token = token;
     view.inventory_sequence = 0;
-    const bool is_own = entry && entry->daemon == context_.settings.id &&
-                        entry->incarnation == context_.incarnation;
-    if (is_own)
+    if (is_own && !continues)
         grant_own_permission(endpoint, *entry);
     context_.log.write("holder changed",
                        {{"endpoint", endpoint.value},
                         {"holder", entry ? entry->daemon.value : "none"},
-                        {"token", static_cast<std::int64_t>(item.revision.value)},
+                        {"token", static_cast<std::int64_t>(token)},
                         {"own", std::int64_t{is_own}}});
-    if (is_own || had_permission)
+    if ((is_own && !continues) || had_permission)
         permission_changed_(endpoint);
 }
 
--- a/servers/gateway/fleet_membership.hpp
+++ b/servers/gateway/fleet_membership.hpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 
 namespace pollenhaven
 {
@@ -40,6 +41,10 @@
 
 private:
     void renew_lease();
+    void send_lease_call();
+    // If the store has been restored, takes a new lease, and lets this daemon continue
+    // with its permissions only if the restored store still has the claims.
+    void handle_new_era();
     void on_lease_granted(const http_result& result, instant sent);
     void on_lease_renewed(const http_result& result, instant sent);
     void on_lease_lost();
@@ -69,6 +74,11 @@
     instant handled_outage_end_{};
     // Permissions of this daemon, and the holders of all engines.
     std::map<endpoint_id, order_permission> permissions_;
+    // The store's era in which the lease was taken.
+    store_era handled_era_;
+    // The permissions that date from an earlier era. No orders are sent by them until the
+    // claim is found in the restored store.
+    std::set<endpoint_id> unconfirmed_permissions_;
     std::map<endpoint_id, holder_record> holders_;
     // When this daemon first checked whether to claim an engine, by engine.
     std::map<endpoint_id, instant> unheld_since_;
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -102,6 +102,11 @@
         body["rev"] = message.operator_change.revision.value;
         body["era"] = message.operator_change.era.value;
     }
+    if (message.era.value != 0)
+    {
+        body["seen_era"] = message.era.value;
+        body["era_age"] = message.era_age.count();
+    }
     for (const auto& [endpoint, limit] : message.request_limits)
         body["limits"][endpoint.value] = limit.per_second;
     return body;
@@ -266,6 +271,8 @@
     message.endpoint_loads = decode_endpoint_loads(body.at("use"));
     message.has_endpoint_loads = !body.contains("partial");
     message.operator_change = decode_position(body, "era", "rev");
+    message.era = {body.value("seen_era", std::uint64_t{0})};
+    message.era_age = milliseconds(body.value("era_age", std::int64_t{0}));
     // Daemons of an earlier release don't send observations.
     if (body.contains("loads"))
         message.load_observations = decode_observations(body.at("loads"));
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -43,6 +43,9 @@
     store_position operator_change;
     // Time since the store last responded to the sender.
     milliseconds store_silence{0};
+    // The store's era that the sender has seen, and for how long.
+    store_era era;
+    milliseconds era_age{0};
     // The sender's load, by endpoint. Endpoints without load are left out. Some
     // heartbeats contain no loads, and say nothing about them.
     bool has_endpoint_loads = true;
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -260,6 +260,7 @@
     member.ready = message.ready;
     member.leaving = message.leaving;
     member.store_silence = message.store_silence;
+    member.era = message.era;
     adopt_load_times(fleet.load_times, message.load_times);
     for (const load_observation& observed : message.load_observations)
         observe_load(fleet.load_times, observed);
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -269,6 +269,7 @@
     if (const auto* heartbeat = std::get_if<heartbeat_message>(&message))
     {
         apply_heartbeat(context_.fleet, *heartbeat, now);
+        record_peer_era(context_, heartbeat->era, heartbeat->era_age);
         watcher_.operator_watch().on_peer_change(heartbeat->operator_change);
         permits_.on_heartbeat(*heartbeat);
         for (const auto& [endpoint, load] : heartbeat->endpoint_loads)
@@ -387,6 +388,9 @@
     message.ready = is_ready(context_);
     message.leaving = context_.leaving;
     message.store_silence = store_silence(context_);
+    message.era = context_.fleet.era;
+    if (context_.era_seen_at)
+        message.era_age = to_milliseconds(context_.loop.now() - *context_.era_seen_at);
     message.operator_change = watcher_.operator_watch().newest_change();
     message.load_observations = take_load_observations(context_);
     message.load_times = context_.fleet.load_times;
--- a/servers/gateway/gateway_context.hpp
+++ b/servers/gateway/gateway_context.hpp
@@ -46,8 +46,9 @@
     bool leaving = false;
     // When the store last responded to this daemon; zero if it never has.
     instant last_store_response{};
-    // The highest era that the store has stated; 0 if it states none.
-    store_era era;
+    // When the era of a restored store was first seen, by this daemon or by a peer that
+    // is up; none if the store was never restored.
+    std::optional<instant> era_seen_at;
     // What was last wrong with a stated era; empty if nothing was.
     std::string era_problem;
     // When the last store outage ended; zero if there was none.
@@ -62,6 +63,10 @@
 // era than the one known, so that it must not be used.
 bool record_store_era(gateway_context& context, const http_head& head);
 
+// Records for how long a peer has known an era. A daemon that starts long after the store
+// was restored learns so that nothing of the time before can matter any more.
+void record_peer_era(gateway_context& context, store_era era, milliseconds age);
+
 // Longer than the interval between two lease renewals, of which one may get no response.
 constexpr milliseconds max_store_response_gap{1000};
 
--- a/servers/gateway/gateway_reports.cpp
+++ b/servers/gateway/gateway_reports.cpp
@@ -24,7 +24,7 @@
             {"leaving", context.leaving},
             {"configuration_version", configuration_version_of(context)},
             {"store_silence_ms", store_silence(context).count()},
-            {"store_era", context.era.value},
+            {"store_era", context.fleet.era.value},
             {"members", live_member_count(context.fleet)},
             {"requests_under_way", activity.requests},
             {"caller_connections", activity.caller_connections}};
@@ -103,7 +103,7 @@
     metrics.set("pollenhaven_ready", is_ready(context) ? 1 : 0);
     metrics.set("pollenhaven_members", live_member_count(context.fleet));
     metrics.set("pollenhaven_store_silence_seconds", to_seconds(store_silence(context)));
-    metrics.set("pollenhaven_store_era", static_cast<double>(context.era.value));
+    metrics.set("pollenhaven_store_era", static_cast<double>(context.fleet.era.value));
     metrics.set("pollenhaven_configuration_version",
                 static_cast<double>(configuration_version_of(context)));
     int held = 0;
--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -147,12 +147,12 @@
         const store_page page = context_.dialect.read_page(result.body);
         on_store_response();
         if (!listing_position_)
-            listing_position_ = {context_.era, page.current};
-        if (listing_position_->era != context_.era)
+            listing_position_ = {context_.fleet.era, page.current};
+        if (listing_position_->era != context_.fleet.era)
             return read_page("");
         for (store_item item : page.items)
         {
-            item.era = context_.era;
+            item.era = context_.fleet.era;
             listed_keys_.insert(item.key);
             newest_change_ = std::max(newest_change_, position_of(item));
             apply(item);
@@ -232,11 +232,11 @@
         on_store_response();
         for (store_item item : page.items)
         {
-            item.era = context_.era;
+            item.era = context_.fleet.era;
             newest_change_ = std::max(newest_change_, position_of(item));
             apply(item);
         }
-        known_position_ = std::max(known_position_, {context_.era, page.current});
+        known_position_ = std::max(known_position_, {context_.fleet.era, page.current});
         if (page.items.empty() || timing_.pause.count() == 0)
             return wait_for_changes();
         context_.loop.schedule_after(timing_.pause, [this] { wait_for_changes(); });
--- a/servers/gateway/store_watch.hpp
+++ b/servers/gateway/store_watch.hpp
@@ -36,9 +36,9 @@
     // Sets a handler that is called after each full listing. Changes before the listing
     // may have been missed.
     void on_resync(std::function<void()> call) { resynced_ = std::move(call); }
-    // Whether a full listing of the prefix has completed and the history since then is
-    // known.
-    bool is_loaded() const { return loaded_; }
+    // Whether a full listing of the prefix has completed in the store's present era, and
+    // the history since then is known.
+    bool is_loaded() const { return loaded_ && !is_in_older_era(); }
 
     // Keeps the items from now on, including deletions, for peers that request them.
     void retain_items() { retains_items_ = true; }
@@ -72,7 +72,7 @@
     // although the store responds to other calls.
     void check_pending_call();
     // Whether the store has been restored since the listing began.
-    bool is_in_older_era() const { return known_position_.era < context_.era; }
+    bool is_in_older_era() const { return known_position_.era < context_.fleet.era; }
     // Whether peers have known of a newer change for so long that the pending call must
     // have been lost.
     bool is_behind_peers() const;
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -293,7 +293,7 @@
 {
     for (const char* const era : {"", "two", "-1", "2.5"})
         hear_era(era);
-    BOOST_TEST(context.era.value == 1U);
+    BOOST_TEST(context.fleet.era.value == 1U);
     run_until([] { return false; }, milliseconds(600));
     BOOST_TEST(watch->is_loaded());
     BOOST_TEST(store.listings == 1);
--- a/tests/policy/fleet_order_permission_test.cpp
+++ b/tests/policy/fleet_order_permission_test.cpp
@@ -136,6 +136,8 @@
         instant last_store_contact{};
         // Number of restarts; identifies the incarnation.
         int restarts = 0;
+        // When this daemon first saw the era of a restored store.
+        std::optional<instant> era_seen_at;
     };
 
     takeover_timing timing;
@@ -147,6 +149,18 @@
     bool store_down = false;
     int last_ordering_daemon = -1;
     instant last_order{};
+    std::uint64_t last_token = 0;
+    // The store's state at earlier times, the newest last. A restored store gets one of
+    // them back and starts the next era.
+    struct store_copy
+    {
+        std::optional<holder_record> holder;
+        std::uint64_t revision = 1;
+        std::vector<std::optional<instant>> leases;
+    };
+    bool restores_store = false;
+    std::vector<store_copy> copies;
+    store_era era{1};
 
     order_permission_model()
     {
@@ -154,9 +168,33 @@
         {
             states.emplace_back();
             states.back().fleet = view_of(number, daemons);
+            states.back().fleet.era = era;
         }
     }
 
+    void save_copy()
+    {
+        store_copy copy{holder, revision, {}};
+        for (const daemon_state& state : states)
+            copy.leases.push_back(state.lease_until);
+        copies.push_back(copy);
+    }
+
+    // The leases of the copy run anew for what was left of them.
+    void restore_copy(std::size_t age)
+    {
+        const std::size_t index = copies.size() - std::min(age, copies.size());
+        const store_copy copy = copies[index];
+        copies.resize(index);
+        holder = copy.holder;
+        revision = copy.revision;
+        for (std::size_t number = 0; number < states.size(); ++number)
+            states[number].lease_until =
+                copy.leases[number] ? std::optional<instant>(now + lease.time_to_live)
+                                    : std::nullopt;
+        era.value += 1;
+    }
+
     bool is_leased(int number) const
     {
         return states[static_cast<std::size_t>(number)].lease_until.has_value();
@@ -197,6 +235,36 @@
         }
     }
 
+    // Lets a daemon see that the store was restored. A holder that still holds the engine
+    // by the same claim, and whose lease was valid until now, continues.
+    void see_era(daemon_state& self, bool still_holder)
+    {
+        if (self.fleet.era == era)
+            return;
+        const bool was_valid =
+            self.fleet.era.value > 0 && is_lease_valid(self.lease_state, lease, now);
+        const bool continues =
+            was_valid && still_holder && self.permission &&
+            self.permission->token == fencing_token({self.fleet.era, holder->revision});
+        if (continues)
+            self.permission->token = fencing_token({era, holder->revision});
+        else
+            self.permission.reset();
+        self.fleet.era = era;
+        self.lease_state = {};
+        self.era_seen_at = era.value > 1 ? std::optional<instant>(now) : std::nullopt;
+        restart_takeover_timers(self.fleet, now);
+    }
+
+    void grant(daemon_state& self, instant previous_lease_end)
+    {
+        self.permission = make_order_permission(fencing_token({era, holder->revision}),
+                                                is_taken_over(*holder),
+                                                previous_lease_end, timing, now);
+        if (self.era_seen_at)
+            delay_after_restore(*self.permission, *self.era_seen_at, timing);
+    }
+
     // Lets a daemon read the store, renew its lease, and claim the engine if it should.
     void exchange_with_store(int number)
     {
@@ -207,6 +275,7 @@
         const incarnation_id own_incarnation{std::to_string(self.restarts)};
         const bool still_holder = holder && holder->daemon == name_of(number) &&
                                   holder->incarnation == own_incarnation;
+        see_era(self, still_holder);
         if (!still_holder)
             self.permission.reset();
         self.last_store_contact = now;
@@ -215,7 +284,9 @@
         confirm_lease(self.lease_state, now);
         if (still_holder)
         {
-            if (self.permission && now >= self.permission->valid_from)
+            if (!self.permission)
+                grant(self, now);
+            if (now >= self.permission->valid_from)
                 holder->previous = previous_holder_for_claim(self.fleet, &*holder, true);
             return;
         }
@@ -233,9 +304,7 @@
         holder = claimed;
         const std::optional<instant> previous_lease_end =
             self.fleet.members[claimed.previous].lease_ended_at;
-        self.permission =
-            make_order_permission(revision, is_taken_over(claimed),
-                                  previous_lease_end.value_or(now), timing, now);
+        grant(self, previous_lease_end.value_or(now));
     }
 
     // Lets a daemon receive its peers' heartbeats, which contain the time since the store
@@ -252,6 +321,7 @@
                 continue;
             member_view& member = self.fleet.members[name_of(other)];
             member.last_message_at = now;
+            member.era = sender.fleet.era;
             member.store_silence =
                 std::chrono::duration_cast<milliseconds>(now - sender.last_store_contact);
         }
@@ -270,6 +340,8 @@
         const bool holder_changed =
             last_ordering_daemon >= 0 && last_ordering_daemon != number;
         RC_ASSERT(!holder_changed || now - last_order >= timing.min_order_gap);
+        RC_ASSERT(self.permission->token >= last_token);
+        last_token = self.permission->token;
         last_ordering_daemon = number;
         last_order = now;
     }
@@ -319,8 +391,12 @@
         for (int step_number = 0; step_number < steps; ++step_number)
         {
             now += step;
+            if (step_number % 20 == 0)
+                save_copy();
             if (*rc::gen::inRange(0, 12) == 0)
                 inject_fault();
+            if (restores_store && *rc::gen::inRange(0, 80) == 0)
+                restore_copy(*rc::gen::inRange<std::size_t>(1, 10));
             expire_leases();
             for (int number = 0; number < daemons; ++number)
             {
@@ -349,4 +425,17 @@
                    });
 }
 
+// Guards against two holders after the store came back from an older copy (ONE): it has
+// forgotten the last claims, and gives an engine back to an earlier holder.
+BOOST_AUTO_TEST_CASE(orders_keep_a_minimum_gap_also_when_the_store_is_restored)
+{
+    check_property("orders keep a minimum gap also when the store is restored",
+                   []
+                   {
+                       order_permission_model model;
+                       model.restores_store = true;
+                       model.run(*rc::gen::inRange(100, 500));
+                   });
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/store_restore_test.cpp
+++ b/tests/process/store_restore_test.cpp
@@ -96,3 +96,34 @@
                                       "a" + std::to_string(request % 6));
     BOOST_TEST(requests_at(deployment, 0) == before);
 }
+
+// Guards against two holders of one engine, and orders with a token that is lower than an
+// earlier one, after a store has forgotten a takeover (ONE).
+BOOST_AUTO_TEST_CASE(tokens_of_orders_never_decrease_after_a_restored_store)
+{
+    fleet deployment;
+    save_copy(deployment);
+    make_changes(deployment, 6);
+    const std::map<std::string, std::string> first = holders_by_engine(deployment, 0);
+    const std::string holder = first.begin()->second;
+    const int killed = holder.back() - '0';
+    const int observer = killed == 0 ? 1 : 0;
+    deployment.daemon(killed).kill();
+    BOOST_REQUIRE(fleet::wait_for(
+        [&] { return holders_by_engine(deployment, observer).begin()->second != holder; },
+        seconds(15)));
+    const auto load_adapters = [&](const std::string& kind, int count)
+    {
+        int served = 0;
+        for (int number = 0; number < count; ++number)
+            served += serves_adapter(deployment, observer, kind + std::to_string(number));
+        return served;
+    };
+    BOOST_TEST(
+        fleet::wait_for([&] { return load_adapters("before", 4) == 4; }, seconds(15)));
+    restore_copy(deployment);
+    deployment.start_daemon(killed);
+    BOOST_TEST(
+        fleet::wait_for([&] { return load_adapters("after", 8) == 8; }, seconds(25)));
+    check_fencing_tokens_never_decrease(deployment, 2);
+}
