Don't use an endpoint again because a restored store has its old entry

Callers would see requests that hang or are reset at an endpoint that is gone (DRAIN): a restored store has the entries of endpoints that were removed since its copy was made.

Cause: an entry of a gone endpoint meant that it had registered again. In a restored store it may be the entry of before.

Fix: in the first five seconds of a new era such an entry doesn't bring its endpoint back, unless it is of a later start. An entry that is still there after that time is of an endpoint that is up, since the store removes those of silent ones after three heartbeats; it is used again and logged. Its removal in the new era gives no further time. An entry that is missing from the restored store gets the grace that it gets after an outage, also if the store was away only for a moment.

--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -85,10 +85,14 @@
     return total;
 }
 
+bool is_gone(const endpoint_view& endpoint, instant now)
+{
+    return endpoint.gone_at && now >= *endpoint.gone_at;
+}
+
 bool accepts_requests(const endpoint_view& endpoint, instant now)
 {
-    const bool gone = endpoint.gone_at && now >= *endpoint.gone_at;
-    return !endpoint.draining && !gone && now >= endpoint.backoff_until;
+    return !endpoint.draining && !is_gone(endpoint, now) && now >= endpoint.backoff_until;
 }
 
 void record_first_byte(endpoint_view& endpoint, milliseconds elapsed, instant now)
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -170,6 +170,9 @@
 int adapter_requests_in_flight(const endpoint_view& endpoint, const adapter_id& adapter,
                                instant now);
 
+// Returns true if the endpoint counts as gone by now.
+bool is_gone(const endpoint_view& endpoint, instant now);
+
 // Returns true if new requests may be sent to the endpoint.
 bool accepts_requests(const endpoint_view& endpoint, instant now);
 
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -19,6 +19,10 @@
 // How long the record of a removed endpoint is kept, for requests that are still running
 // there.
 constexpr milliseconds removed_record_lifetime{20000};
+// The store removes the entry of a silent endpoint after three of its heartbeats, which
+// are about 1.2 s apart. An entry that outlives this time in a restored store is of an
+// endpoint that is up.
+constexpr milliseconds restored_entry_wait{5000};
 
 watch_timing endpoint_timing()
 {
@@ -123,7 +127,13 @@
     if (is_known && record.started_ms < view.record.started_ms)
         return;
     view.record = record;
-    view.gone_at.reset();
+    // A restored store also has the entries of endpoints that are gone since.
+    const bool is_doubtful = !restarted && is_gone(view, now) && context_.era_seen_at &&
+                             now - *context_.era_seen_at < restored_entry_wait;
+    if (is_doubtful)
+        doubtful_endpoints_.insert(record.id);
+    else
+        view.gone_at.reset();
     if (restarted)
     {
         view.draining = false;
@@ -156,10 +166,14 @@
     if (found == context_.fleet.endpoints.end())
         return;
     const instant now = context_.loop.now();
-    const instant grace_ends = context_.store_outage_ended + registration_grace;
-    const bool after_outage =
-        context_.store_outage_ended != instant{} && now < grace_ends;
-    found->second.gone_at = after_outage ? grace_ends : now;
+    doubtful_endpoints_.erase(id);
+    const bool was_gone = is_gone(found->second, now);
+    const instant absence_ended =
+        std::max(context_.store_outage_ended, context_.era_seen_at.value_or(instant{}));
+    const instant grace_ends = absence_ended + registration_grace;
+    const bool after_outage = !was_gone && absence_ended != instant{} && now < grace_ends;
+    if (!was_gone)
+        found->second.gone_at = after_outage ? grace_ends : now;
     context_.log.write(
         "endpoint entry gone",
         {{"endpoint", id.value},
@@ -168,8 +182,27 @@
         gone_(id);
 }
 
+void fleet_watcher::confirm_restored_endpoints()
+{
+    const instant now = context_.loop.now();
+    if (doubtful_endpoints_.empty() ||
+        (context_.era_seen_at && now - *context_.era_seen_at < restored_entry_wait))
+        return;
+    for (const endpoint_id& id : std::exchange(doubtful_endpoints_, {}))
+    {
+        const auto found = context_.fleet.endpoints.find(id);
+        if (found == context_.fleet.endpoints.end())
+            continue;
+        found->second.gone_at.reset();
+        context_.log.write(
+            "endpoint confirmed",
+            {{"endpoint", id.value}, {"reason", "the restored store kept its entry"}});
+    }
+}
+
 void fleet_watcher::remove_gone_endpoints()
 {
+    confirm_restored_endpoints();
     const instant now = context_.loop.now();
     std::erase_if(context_.fleet.endpoints,
                   [now](const auto& entry)
--- a/servers/gateway/fleet_watcher.hpp
+++ b/servers/gateway/fleet_watcher.hpp
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <optional>
+#include <set>
 #include <vector>
 
 namespace pollenhaven
@@ -40,10 +41,15 @@
     void on_endpoint(const store_item& item);
     void on_endpoint_entry(const endpoint_record& record);
     void on_endpoint_gone(const endpoint_id& id);
+    // Uses the endpoints again whose entries the restored store has kept for so long that
+    // they must be up.
+    void confirm_restored_endpoints();
 
     gateway_context& context_;
     endpoint_handler restarted_;
     endpoint_handler gone_;
+    // Endpoints that were gone, and whose entries a restored store has again.
+    std::set<endpoint_id> doubtful_endpoints_;
     store_watch operator_watch_;
     store_watch endpoint_watch_;
 };
--- a/tests/process/store_restore_test.cpp
+++ b/tests/process/store_restore_test.cpp
@@ -97,6 +97,27 @@
     BOOST_TEST(requests_at(deployment, 0) == before);
 }
 
+// Guards against requests at an endpoint that is gone, because the restored store has its
+// entry again (DRAIN).
+BOOST_AUTO_TEST_CASE(an_engine_that_was_removed_is_not_used_because_the_copy_has_it)
+{
+    const fleet deployment;
+    save_copy(deployment);
+    make_changes(deployment, 3);
+    deployment.remove_engine(0);
+    std::this_thread::sleep_for(drain_bound);
+    const int before = requests_at(deployment, 0);
+    restore_copy(deployment);
+    for (int request = 0; request < 60; ++request)
+    {
+        deployment.send_platform_chat(request % deployment.daemon_count(),
+                                      "after-" + std::to_string(request),
+                                      "a" + std::to_string(request % 3));
+        std::this_thread::sleep_for(milliseconds(20));
+    }
+    BOOST_TEST(requests_at(deployment, 0) == before);
+}
+
 // Guards against two holders of one engine, and orders with a token that is lower than an
 // earlier one, after a store has forgotten a takeover (ONE).
 BOOST_AUTO_TEST_CASE(tokens_of_orders_never_decrease_after_a_restored_store)
