--- a/main/control/explain_log.cpp
+++ b/main/control/explain_log.cpp
@@ -74,6 +74,8 @@
         {"no_configuration", "the daemon had no configuration yet"},
         {"request_blocked", "requests with its content crashed endpoints"},
         {"prompt_part_blocked", "a part of its prompt crashed engines"},
+        {"request_limit", "all endpoints of its service had reached the request limits "
+                          "that they state"},
         {"deadline", "its time ran out before it was sent"}};
     const std::string reason = field_text(line, "reason");
     const auto known = reasons.find(reason);
