--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -177,6 +177,17 @@
         record_store_era(context, head);
     }
 
+    // Brings the store back with op/a only, at a lower revision.
+    void restore_store()
+    {
+        store.era = "2";
+        store.items = {{"op/a", 7}};
+        store.revision = 7;
+        hear_era("2");
+        run_until([this] { return store.listings == 2 && watch->is_loaded(); },
+                  seconds(2));
+    }
+
     bool has_received(const std::string& key, bool deleted) const
     {
         for (const store_item& item : received)
@@ -251,12 +262,7 @@
 BOOST_FIXTURE_TEST_CASE(a_restored_store_is_listed_again_and_its_revisions_count,
                         listed_watch)
 {
-    store.era = "2";
-    store.items = {{"op/a", 7}};
-    store.revision = 7;
-    hear_era("2");
-    run_until([this] { return store.listings == 2 && watch->is_loaded(); },
-              configuration_bound);
+    restore_store();
     BOOST_TEST(has_received("op/a", false));
     BOOST_TEST(has_received("op/b", true));
     BOOST_TEST((watch->known_position() == store_position{{2}, {7}}));
@@ -302,12 +308,7 @@
 // Guards against a peer of an earlier era that leads a daemon back.
 BOOST_FIXTURE_TEST_CASE(a_peers_change_of_an_earlier_era_is_no_news, listed_watch)
 {
-    store.era = "2";
-    store.items = {{"op/a", 7}};
-    store.revision = 7;
-    hear_era("2");
-    run_until([this] { return store.listings == 2 && watch->is_loaded(); },
-              configuration_bound);
+    restore_store();
     received.clear();
     watch->apply_from_peer({"op/a", "old", {40}, false, {1}});
     watch->on_peer_change({{1}, {90}});
