Don't refuse for want of permits while an endpoint without a limit is in a back-off

Callers would see refusals (request_limit) though another endpoint of the service is only full for the next 40 ms.

Cause: endpoints in a back-off were passed over before it was asked whether any endpoint still has permits. Fix: all endpoints that may serve the request count, also later ones. Evidence: only_limits_of_all_endpoints_that_may_serve_count_as_no_permit failed before.

--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -65,12 +65,19 @@
     return baseline + (value - baseline) * remaining_weight;
 }
 
-bool is_candidate(const endpoint_view& endpoint, const dispatch_query& query, instant now)
+// Returns true if the request may be sent to the endpoint now or after a back-off.
+bool may_serve(const endpoint_view& endpoint, const dispatch_query& query, instant now)
 {
-    return endpoint.record.service == query.service && accepts_requests(endpoint, now) &&
+    return endpoint.record.service == query.service && !endpoint.draining &&
+           !is_gone(endpoint, now) &&
            (query.failed == nullptr || !query.failed->contains(endpoint.record.id));
 }
 
+bool is_candidate(const endpoint_view& endpoint, const dispatch_query& query, instant now)
+{
+    return may_serve(endpoint, query, now) && accepts_requests(endpoint, now);
+}
+
 bool has_loaded_model(const endpoint_view& endpoint, const base_model_id& model)
 {
     const std::vector<base_model_id>& models = endpoint.record.inventory.models;
@@ -220,9 +227,12 @@
     std::optional<double> busy_threshold;
     for (const auto& [id, endpoint] : fleet.endpoints)
     {
-        if (!is_candidate(endpoint, query, now))
+        if (!may_serve(endpoint, query, now))
             continue;
         const permit_status permit = status_of(endpoint.limit, now);
+        any_has_permits = any_has_permits || permit != permit_status::denied;
+        if (!accepts_requests(endpoint, now))
+            continue;
         if (permit == permit_status::denied)
         {
             decision.no_permit_until =
@@ -230,7 +240,6 @@
                          endpoint.limit.denied_until);
             continue;
         }
-        any_has_permits = true;
         const bool needs_adapter = !query.adapter.empty();
         const resident_adapter* resident =
             needs_adapter ? find_adapter(fleet, endpoint, query.adapter) : nullptr;
--- a/tests/policy/request_limit_test.cpp
+++ b/tests/policy/request_limit_test.cpp
@@ -1,6 +1,6 @@
 #include "policy/fleet/request_limit.hpp"
 
-#include "policy/fleet/fleet_view.hpp"
+#include "policy/fleet/endpoint_selection.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -341,6 +341,30 @@
     BOOST_TEST((status_of(view, now + seconds(1)) == permit_status::unknown));
 }
 
+// Guards against refusing a request that an endpoint without a limit can serve after a
+// short back-off.
+BOOST_AUTO_TEST_CASE(only_limits_of_all_endpoints_that_may_serve_count_as_no_permit)
+{
+    fleet_view fleet;
+    for (const char* const id : {"limited", "busy"})
+    {
+        endpoint_view& endpoint = fleet.endpoints[{id}];
+        endpoint.record.id = {id};
+        endpoint.record.service = {"plain"};
+    }
+    endpoint_view& limited = fleet.endpoints.at({"limited"});
+    set_limit(limited.limit, {1}, start);
+    limited.limit.denied_until = start + seconds(3);
+    endpoint_view& busy = fleet.endpoints.at({"busy"});
+    busy.backoff_until = start + milliseconds(40);
+    dispatch_query query;
+    query.service = {"plain"};
+    BOOST_TEST(!choose_endpoint(fleet, query, start).no_permit_until.has_value());
+    busy.draining = true;
+    BOOST_TEST((choose_endpoint(fleet, query, start).no_permit_until ==
+                limited.limit.denied_until));
+}
+
 // Guards against limits that each daemon keeps alone, and against shares so small that
 // the endpoint gets nothing, in fleets of any size.
 BOOST_AUTO_TEST_CASE(fleets_of_any_size_keep_to_a_limit_and_use_it)
