--- a/core/interfaces/platform_dialect.hpp
+++ b/core/interfaces/platform_dialect.hpp
@@ -54,6 +54,9 @@
     // The id of the last event that the caller received of an interrupted stream; the
     // response resumes after it.
     std::string last_event_id;
+    // The request whose response contained the first event of that stream; empty if the
+    // caller doesn't name it.
+    request_id stream_begun_by;
     // The only adapter version on which the request may run, if the caller requires one.
     std::optional<adapter_version> version;
     // The request runs at most once under this key, even if it is sent to several
--- a/core/records/endpoint_record.hpp
+++ b/core/records/endpoint_record.hpp
@@ -18,6 +18,9 @@
 // Version number of an adapter; a larger one is newer.
 using adapter_version = strong_number<struct adapter_version_tag>;
 
+// The version of the software that an endpoint runs; versions have no order.
+using software_version = strong_string<struct software_version_tag>;
+
 // A number of requests per second; 0 or more.
 struct request_rate
 {
@@ -54,6 +57,8 @@
     service_id service;
     network_address address;
     std::string zone;
+    // Empty if the endpoint doesn't state it.
+    software_version software;
     // Number of requests that the endpoint runs at the same time.
     int slots = 1;
     bool draining = false;
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -153,6 +153,7 @@
                            {{"endpoint", record.id.value},
                             {"service", record.service.value},
                             {"address", record.address.value},
+                            {"software", record.software.value},
                             {"state", record.draining ? "draining" : "ready"}});
     if (restarted)
         restarted_(record.id);
--- a/servers/gateway/gateway_reports.cpp
+++ b/servers/gateway/gateway_reports.cpp
@@ -47,6 +47,7 @@
              {"service", endpoint.record.service.value},
              {"address", endpoint.record.address.value},
              {"zone", endpoint.record.zone},
+             {"software", endpoint.record.software.value},
              {"state", state_name(endpoint)},
              {"holder", endpoint.holder.value},
              {"holder_token", endpoint.holder_token},
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -143,6 +143,7 @@
     // Sends the error, or aborts a response that has begun, and removes the request.
     void end_with_error_response(http_exchange& exchange, const failure& reason);
     void remove_exchange(http_exchange& exchange);
+    void log_resumption_by_caller(const http_exchange& exchange);
     void log_refusal(const http_exchange& exchange, const std::string& code);
     // Logs how a stream ended, unless its length was stated and its last event is
     // complete.
--- a/servers/gateway/request_flow_admission.cpp
+++ b/servers/gateway/request_flow_admission.cpp
@@ -80,6 +80,8 @@
                                        exchange.request);
     if (!unknown_model_reason.empty())
         return fail(exchange, status_not_found, "unknown_model", unknown_model_reason);
+    if (!exchange.request.last_event_id.empty())
+        log_resumption_by_caller(exchange);
     const milliseconds time_limit =
         std::min(exchange.request.deadline.value_or(exchange.matched_route->timeout),
                  exchange.matched_route->timeout);
--- a/servers/gateway/request_flow_log.cpp
+++ b/servers/gateway/request_flow_log.cpp
@@ -8,8 +8,8 @@
 {
     const instant now = context_.loop.now();
     const auto view = context_.fleet.endpoints.find(exchange.endpoint);
-    const int load =
-        view == context_.fleet.endpoints.end() ? 0 : total_in_flight(view->second, now);
+    const bool is_known = view != context_.fleet.endpoints.end();
+    const int load = is_known ? total_in_flight(view->second, now) : 0;
     context_.log.write(
         event, {{"request", exchange.request.id.value},
                 {"route", exchange.matched_route == nullptr
@@ -17,6 +17,7 @@
                               : std::string_view(exchange.matched_route->name)},
                 {"adapter", exchange.request.adapter.value},
                 {"endpoint", exchange.endpoint.value},
+                {"software", is_known ? view->second.record.software.value : ""},
                 {"endpoint_load", std::int64_t{load}},
                 {"age_ms", std::int64_t{to_milliseconds(now - exchange.arrived).count()}},
                 {"longest_pause_ms", std::int64_t{exchange.longest_pause.count()}},
@@ -28,6 +29,14 @@
                 {"reason", reason}});
 }
 
+void request_flow::log_resumption_by_caller(const http_exchange& exchange)
+{
+    context_.log.write("stream resumed by its caller",
+                       {{"request", exchange.request.id.value},
+                        {"stream_begun_by", exchange.request.stream_begun_by.value},
+                        {"last_event_id", exchange.request.last_event_id}});
+}
+
 void request_flow::log_refusal(const http_exchange& exchange, const std::string& code)
 {
     const std::string engine = exchange.load_engine ? exchange.load_engine->value : "";
