--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -169,6 +169,22 @@
     BOOST_TEST(response.find("HTTP/1.1") == response.rfind("HTTP/1.1"));
 }
 
+// Guards against one answer with events of two software versions, after an engine has
+// crashed in the middle of a stream (ORDER).
+BOOST_AUTO_TEST_CASE(a_stream_is_not_resumed_at_an_engine_of_another_software_version)
+{
+    flow_fixture test;
+    test.add_endpoints("assistant");
+    test.context.fleet.endpoints.at({"i-1"}).record.software = {"v1"};
+    test.context.fleet.endpoints.at({"i-2"}).record.software = {"v2"};
+    test.first.scripts = {{stream_head + chunk("id: 1\ndata: a\n\n"), true}};
+    test.second.scripts = {{stream_head + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"}};
+    const std::string response = test.send_request("/again/1");
+    BOOST_TEST(contains(response, "data: a"));
+    BOOST_TEST(test.second.requests.empty());
+    BOOST_TEST(!response.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_waits_for_its_adapter_requests_one_load)
 {
     flow_fixture test;
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -187,13 +187,18 @@
 
 json fleet::engine_entry(int engine, const std::string& state) const
 {
-    return {
+    json entry{
         {"service", "assistant"},
         {"addr", advertised_engine_addresses_.at(static_cast<std::size_t>(engine))},
         {"zone", "zone"},
         {"slots", 16},
         {"state", state},
         {"models", {{{"name", "base"}, {"version", 1}, {"adapters", json::array()}}}}};
+    const std::vector<std::string>& software = options_.engine_software;
+    if (!software.empty())
+        entry["version"] =
+            software.at(std::min(static_cast<std::size_t>(engine), software.size() - 1));
+    return entry;
 }
 
 void fleet::set_engine_state(int engine, const std::string& state) const
@@ -221,6 +226,9 @@
               options_.stream_attempts),
         route("orders", "/orders/", "non_idempotent", "orders", 1),
         route("booking", "/v1/services/booking/", "non_idempotent", "booking", 1)};
+    routes[0]["resumable"] = options_.resumable_chats;
+    if (options_.resumable_chats)
+        routes[0]["maxAttempts"] = 2;
     routes[1]["resumable"] = options_.stream_attempts > 1;
     routes[1]["timeoutMs"] = completion_timeout_ms;
     if (!extra_route.empty())
@@ -314,14 +322,38 @@
                 request_timeout_s);
 }
 
+std::map<std::string, std::string>
+fleet::platform_chat_fields(const std::string& request_id, const std::string& model) const
+{
+    return {{"Host", fleet_host},
+            {"X-Pollenhaven-Request-Id", request_id},
+            {"X-Pollenhaven-Model", model},
+            {"X-Pollenhaven-Token-Count", "100,50"}};
+}
+
+event_stream fleet::stream_platform_chat(int daemon, const std::string& request_id) const
+{
+    return read_event_stream(caller_address(daemon), "/chat/1", "body of " + request_id,
+                             platform_chat_fields(request_id, "base"));
+}
+
+event_stream fleet::resume_platform_chat(int daemon, const std::string& request_id,
+                                         const std::string& begun_by,
+                                         int last_event) const
+{
+    std::map<std::string, std::string> fields = platform_chat_fields(request_id, "base");
+    fields["Resumes"] = begun_by;
+    fields["Last-Event-Id"] = std::to_string(last_event);
+    return read_event_stream(caller_address(daemon), "/chat/1", "body of " + begun_by,
+                             fields);
+}
+
 http_response fleet::send_platform_chat(int daemon, const std::string& request_id,
                                         const std::string& adapter,
                                         const std::string& prompt_parts) const
 {
-    std::map<std::string, std::string> fields{{"Host", fleet_host},
-                                              {"X-Pollenhaven-Request-Id", request_id},
-                                              {"X-Pollenhaven-Model", "base/" + adapter},
-                                              {"X-Pollenhaven-Token-Count", "100,50"}};
+    std::map<std::string, std::string> fields =
+        platform_chat_fields(request_id, "base/" + adapter);
     if (!prompt_parts.empty())
         fields["X-Pollenhaven-Prefix-Hash"] = prompt_parts;
     return post(caller_address(daemon), "/chat/1", "body of " + request_id, fields,
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -36,6 +36,11 @@
     // Maximum number of engines to which one stream is sent. Above 1, an interrupted
     // stream is resumed on another engine.
     int stream_attempts = 1;
+    // Callers and daemons may resume the streams of send_platform_chat() too.
+    bool resumable_chats = false;
+    // The software versions of the engines, by their numbers; the last one also holds for
+    // further engines. The entries state none if this is empty.
+    std::vector<std::string> engine_software;
 };
 
 // A deployment of daemons with stand-ins for the platform: a store, engines, a plain
@@ -113,6 +118,11 @@
     http_response send_platform_chat(int daemon, const std::string& request_id,
                                      const std::string& adapter,
                                      const std::string& prompt_parts = "") const;
+    // Streams a response of the base model through the platform's own interface.
+    event_stream stream_platform_chat(int daemon, const std::string& request_id) const;
+    // Resumes the stream that the request `begun_by` began after the event `last_event`.
+    event_stream resume_platform_chat(int daemon, const std::string& request_id,
+                                      const std::string& begun_by, int last_event) const;
     // Calls the booking service through the OpenAI-compatible interface.
     http_response send_booking_request(int daemon, const std::string& key,
                                        const std::string& body = "{}") const;
@@ -135,6 +145,8 @@
     void start_engines();
     void start_service_endpoints();
     nlohmann::json engine_entry(int engine, const std::string& state) const;
+    std::map<std::string, std::string>
+    platform_chat_fields(const std::string& request_id, const std::string& model) const;
     void write_settings(int daemon) const;
     std::string directory_;
     fleet_options options_;
--- a/tests/harness/http.cpp
+++ b/tests/harness/http.cpp
@@ -141,6 +141,49 @@
     return streamed;
 }
 
+event_stream read_event_stream(const std::string& address, const std::string& path,
+                               const std::string& body,
+                               const std::map<std::string, std::string>& headers)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    event_stream streamed;
+    std::string received;
+    httplib::Client client("http://" + address);
+    client.set_connection_timeout(std::chrono::seconds(2));
+    client.set_read_timeout(std::chrono::seconds(10));
+    httplib::Request request;
+    request.method = "POST";
+    request.path = path;
+    request.headers = httplib::Headers(headers.begin(), headers.end());
+    request.body = body;
+    request.response_handler = [&](const httplib::Response& response)
+    {
+        streamed.status = response.status;
+        return true;
+    };
+    request.content_receiver =
+        [&](const char* data, std::size_t length, std::uint64_t, std::uint64_t)
+    {
+        received.append(data, length);
+        return true;
+    };
+    streamed.is_complete = static_cast<bool>(client.send(request));
+    if (streamed.status != 200)
+    {
+        streamed.error = http_response{streamed.status, received, {}}.error_code();
+        return streamed;
+    }
+    std::size_t end = 0;
+    while ((end = received.find("\n\n")) != std::string::npos)
+    {
+        const std::string event = received.substr(0, end);
+        received.erase(0, end + 2);
+        streamed.events[std::stoi(event.substr(event.find("id: ") + 4))] =
+            event.substr(event.find("data: ") + 6);
+    }
+    return streamed;
+}
+
 std::string chat_body(const std::string& model, const std::string& prompt, int tokens,
                       bool stream)
 {
--- a/tests/harness/http.hpp
+++ b/tests/harness/http.hpp
@@ -54,6 +54,21 @@
 stream_response stream_chat(const std::string& address, const std::string& model,
                             const std::string& prompt, int tokens);
 
+// The result of a stream of server-sent events with numbers as ids.
+struct event_stream
+{
+    int status = 0;
+    // The error code of an unsuccessful response; empty if there is none.
+    std::string error;
+    // The data of the complete events, by id.
+    std::map<int, std::string> events;
+    // The response came to its end, rather than being broken off.
+    bool is_complete = false;
+};
+event_stream read_event_stream(const std::string& address, const std::string& path,
+                               const std::string& body,
+                               const std::map<std::string, std::string>& headers);
+
 std::string chat_body(const std::string& model, const std::string& prompt, int tokens,
                       bool stream = false);
 // The text that the engine stand-in generates for a prompt.
--- /dev/null
+++ b/tests/process/stream_version_test.cpp
@@ -0,0 +1,170 @@
+// Streams that are resumed while engines of two software versions serve.
+
+#define BOOST_TEST_MODULE stream_versions
+#include "tests/process/checks.hpp"
+
+#include <set>
+#include <thread>
+
+using namespace pollenhaven::harness;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace
+{
+
+constexpr int streams = 40;
+// Streams are about half done when the daemons are killed.
+constexpr milliseconds kill_after{1000};
+
+fleet_options two_versions()
+{
+    fleet_options options;
+    options.daemons = 4;
+    options.engines = 4;
+    options.engine_software = {"v1", "v2", "v1", "v2"};
+    options.resumable_chats = true;
+    options.events_per_stream = 40;
+    options.event_interval_ms = 50;
+    return options;
+}
+
+std::string software_of(const fleet_options& options, const std::string& engine)
+{
+    return options.engine_software.at(
+        static_cast<std::size_t>(std::stoi(engine.substr(engine.find('-') + 1))));
+}
+
+std::string request_id(const std::string& kind, int number)
+{
+    return kind + "-" + std::to_string(number);
+}
+
+// Begins streams through all daemons and kills all daemons at once while they run.
+std::vector<event_stream> begin_streams_and_kill(fleet& deployment)
+{
+    std::vector<event_stream> begun(streams);
+    std::vector<std::thread> callers;
+    for (int number = 0; number < streams; ++number)
+        callers.emplace_back(
+            [&, number]
+            {
+                begun.at(static_cast<std::size_t>(number)) =
+                    deployment.stream_platform_chat(number % deployment.daemon_count(),
+                                                    request_id("begin", number));
+            });
+    std::this_thread::sleep_for(kill_after);
+    for (int daemon = 0; daemon < deployment.daemon_count(); ++daemon)
+        deployment.daemon(daemon).kill();
+    for (std::thread& caller : callers)
+        caller.join();
+    return begun;
+}
+
+void start_daemons(fleet& deployment)
+{
+    for (int daemon = 0; daemon < deployment.daemon_count(); ++daemon)
+        deployment.start_daemon(daemon);
+    BOOST_REQUIRE(fleet::wait_for([&] { return deployment.all_ready(); }, seconds(10)));
+}
+
+// What became of the streams that callers resumed, each at another daemon than the one
+// that began it.
+struct resumed_streams
+{
+    int interrupted = 0;
+    int continued = 0;
+    int joined_from_two_versions = 0;
+    // Refusals, by the version that began the stream.
+    std::map<std::string, int> refused;
+    std::map<std::string, int> interrupted_by_version;
+    std::set<std::string> errors;
+};
+
+// Resumes all streams that were broken off, at the same time.
+std::vector<event_stream> send_resumptions(const fleet& deployment,
+                                           const std::vector<event_stream>& begun)
+{
+    std::vector<event_stream> rest(streams);
+    std::vector<std::thread> callers;
+    for (int number = 0; number < streams; ++number)
+        callers.emplace_back(
+            [&, number]
+            {
+                const auto index = static_cast<std::size_t>(number);
+                if (!begun.at(index).events.empty())
+                    rest.at(index) = deployment.resume_platform_chat(
+                        (number + 1) % deployment.daemon_count(),
+                        request_id("resume", number), request_id("begin", number),
+                        begun.at(index).events.rbegin()->first);
+            });
+    for (std::thread& caller : callers)
+        caller.join();
+    return rest;
+}
+
+resumed_streams resume_streams(const fleet& deployment, const fleet_options& options,
+                               const std::vector<event_stream>& begun)
+{
+    resumed_streams result;
+    const std::vector<event_stream> resumed = send_resumptions(deployment, begun);
+    for (std::size_t index = 0; index < resumed.size(); ++index)
+    {
+        if (begun.at(index).events.empty())
+            continue;
+        ++result.interrupted;
+        const std::string began_at =
+            software_of(options, begun.at(index).events.begin()->second);
+        ++result.interrupted_by_version[began_at];
+        const event_stream& rest = resumed.at(index);
+        if (rest.status != 200)
+        {
+            ++result.refused[began_at];
+            result.errors.insert(rest.error);
+            continue;
+        }
+        ++result.continued;
+        const auto is_other = [&](const auto& event)
+        { return software_of(options, event.second) != began_at; };
+        result.joined_from_two_versions +=
+            std::any_of(rest.events.begin(), rest.events.end(), is_other) ? 1 : 0;
+    }
+    return result;
+}
+
+} // namespace
+
+// Guards against streams that their callers resume, after all daemons were killed, at an
+// engine of another software version than the one that began them (ORDER), and against
+// refusing them although that version serves (LOST).
+BOOST_AUTO_TEST_CASE(a_stream_is_resumed_at_its_version_after_all_daemons_were_killed)
+{
+    const fleet_options options = two_versions();
+    fleet deployment(options);
+    const std::vector<event_stream> begun = begin_streams_and_kill(deployment);
+    start_daemons(deployment);
+    const resumed_streams resumed = resume_streams(deployment, options, begun);
+    BOOST_TEST(resumed.interrupted >= streams / 2);
+    BOOST_TEST(resumed.interrupted_by_version.size() == 2U);
+    BOOST_TEST(resumed.joined_from_two_versions == 0);
+    BOOST_TEST(resumed.continued == resumed.interrupted);
+}
+
+// Guards against streams that are continued at the new version because the engines of the
+// old one have left meanwhile (ORDER).
+BOOST_AUTO_TEST_CASE(a_stream_whose_version_has_left_is_refused_and_others_are_resumed)
+{
+    const fleet_options options = two_versions();
+    fleet deployment(options);
+    const std::vector<event_stream> begun = begin_streams_and_kill(deployment);
+    for (const int engine : {0, 2})
+        deployment.remove_engine(engine);
+    start_daemons(deployment);
+    const resumed_streams resumed = resume_streams(deployment, options, begun);
+    BOOST_TEST(resumed.interrupted_by_version.size() == 2U);
+    BOOST_TEST(resumed.joined_from_two_versions == 0);
+    const std::map<std::string, int> expected_refusals{
+        {"v1", resumed.interrupted_by_version.at("v1")}};
+    BOOST_TEST((resumed.refused == expected_refusals));
+    BOOST_TEST((resumed.errors == std::set<std::string>{"stream_version_unavailable"}));
+}
