--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -70,6 +70,7 @@
 {
     return endpoint.record.service == query.service && !endpoint.draining &&
            !is_gone(endpoint, now) &&
+           (!query.software || endpoint.record.software == *query.software) &&
            (query.failed == nullptr || !query.failed->contains(endpoint.record.id));
 }
 
--- a/policy/fleet/endpoint_selection.hpp
+++ b/policy/fleet/endpoint_selection.hpp
@@ -18,6 +18,8 @@
     // Empty for requests to plain services.
     base_model_id model;
     int prompt_tokens = 0;
+    // The only software version on which the request may run; any if none is given.
+    std::optional<software_version> software;
     // Endpoints to which the request must not be sent, because it failed there or for
     // other reasons. Null if there are none.
     const std::set<endpoint_id>* failed = nullptr;
--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -245,6 +245,14 @@
     return giver;
 }
 
+bool is_first_member(const fleet_view& fleet)
+{
+    for (const auto& [id, member] : fleet.members)
+        if (member.leased)
+            return id == fleet.self;
+    return false;
+}
+
 int live_member_count(const fleet_view& fleet)
 {
     int live = 0;
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -133,6 +133,17 @@
     instant learned_at{};
 };
 
+// The software version at which a service's streams began if no record names another one.
+struct base_version
+{
+    software_version version;
+    // The store's revision of the entry; 0 if the store has lost it.
+    store_revision revision;
+    // When this daemon learned that it replaced another version; none if it knows no
+    // other.
+    std::optional<instant> changed_at;
+};
+
 // The state of the fleet as far as this daemon, `self`, knows it.
 struct fleet_view
 {
@@ -141,6 +152,7 @@
     std::map<endpoint_id, endpoint_view> endpoints;
     std::map<daemon_id, member_view> members;
     std::map<adapter_id, known_version> versions;
+    std::map<service_id, base_version> base_versions;
     // The latest era that the store has stated to this daemon; 0 if it states none.
     store_era era;
     // What this daemon and its peers have learned about the weight store.
@@ -224,6 +236,10 @@
 // Empty if there is none.
 daemon_id permit_giver(const fleet_view& fleet, const endpoint_id& endpoint);
 
+// Returns true if this daemon is the first one with a lease in the store, which does what
+// only one daemon needs to do.
+bool is_first_member(const fleet_view& fleet);
+
 // Returns the number of daemons with a lease in the store, including this one.
 int live_member_count(const fleet_view& fleet);
 
--- /dev/null
+++ b/policy/fleet/stream_origin.hpp
@@ -0,0 +1,94 @@
+#ifndef POLLENHAVEN_POLICY_FLEET_STREAM_ORIGIN_HPP
+#define POLLENHAVEN_POLICY_FLEET_STREAM_ORIGIN_HPP
+
+#include "policy/fleet/fleet_view.hpp"
+
+#include <optional>
+#include <set>
+
+namespace pollenhaven
+{
+
+// A stream continues only at the software version that began it. Callers resume streams
+// at any daemon, also after all daemons have restarted, so the version must follow from
+// what the store has: each service has a base version there, and each stream that begins
+// at another version has a record, which is written before its first event is passed on.
+// A stream without a record began at the base version.
+
+// A stream can be resumed for this long after its beginning; callers' deadlines are
+// shorter.
+constexpr milliseconds stream_lifetime{60'000};
+
+// What the store has about a stream.
+enum class record_lookup
+{
+    // There is a record.
+    found,
+    // There is none.
+    absent,
+    // The store did not respond.
+    unanswered
+};
+
+// Where the version of a stream is known from.
+enum class origin_source
+{
+    unknown,
+    // This daemon began the stream or resumed it before.
+    own_memory,
+    record,
+    base_version,
+    // Endpoints of only one version are known.
+    only_version
+};
+
+struct stream_origin
+{
+    origin_source source = origin_source::unknown;
+    // Undefined if the source is unknown.
+    software_version version;
+};
+
+// Returns the versions of the service's endpoints that aren't gone, draining ones too.
+std::set<software_version> registered_versions(const fleet_view& fleet,
+                                               const service_id& service, instant now);
+
+// Returns true if an endpoint of the service runs this version and may get new requests,
+// now or after a back-off.
+bool is_version_serving(const fleet_view& fleet, const service_id& service,
+                        const software_version& version, instant now);
+
+// Returns true if a stream that begins at this version needs a record.
+bool needs_record(const fleet_view& fleet, const service_id& service,
+                  const software_version& version, instant now);
+
+// Returns the version to which a new stream is restricted: the base version if the store,
+// silent for the time `store_silence`, may not take a record and engines of that version
+// serve. None if it may begin at any version.
+std::optional<software_version> version_for_new_stream(const fleet_view& fleet,
+                                                       const service_id& service,
+                                                       milliseconds store_silence,
+                                                       instant now);
+
+// Returns the version that the store should have as the service's base version, if it has
+// another one or none. The base version changes only when no endpoint has run it since
+// `absent_since`, for so long that no stream of it can be resumed any more.
+std::optional<software_version> next_base_version(const fleet_view& fleet,
+                                                  const service_id& service,
+                                                  std::optional<instant> absent_since,
+                                                  instant now);
+
+// Returns the version that began a stream which this daemon doesn't know itself.
+// `recorded` is the version in the record, if it was found. `is_conclusive` is false if
+// the store may have lost records, or this daemon doesn't know its base versions yet.
+stream_origin locate_stream(const fleet_view& fleet, const service_id& service,
+                            record_lookup lookup, const software_version& recorded,
+                            bool is_conclusive, instant now);
+
+// Returns how long a daemon waits between two writes of records, so that all daemons
+// together use at most half of the writes that the store takes.
+milliseconds record_write_interval(int members, int store_writes_per_second);
+
+} // namespace pollenhaven
+
+#endif
--- a/servers/gateway/fleet_membership.hpp
+++ b/servers/gateway/fleet_membership.hpp
@@ -33,6 +33,12 @@
     // Claims engines without a live holder, and extends the lease's validity while all
     // members confirm a store outage. Must be called periodically.
     void run_periodic_work();
+    // Sets a handler for changes of the services' base versions, which are below the
+    // prefix of the members' and holders' entries.
+    void on_base_version(std::function<void(const store_item&)> call)
+    {
+        base_version_changed_ = std::move(call);
+    }
     // The watch of the store entries that daemons write, for synchronisation with peers.
     store_watch& watch() { return watch_; }
     // Ends the lease in the store, so that peers see at once that this daemon has left.
@@ -62,6 +68,8 @@
 
     gateway_context& context_;
     std::function<void(const endpoint_id&)> permission_changed_;
+    std::function<void(const store_item&)> base_version_changed_ = [](const store_item&) {
+    };
     store_client client_;
     store_watch watch_;
     std::uint64_t lease_ = 0;
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -15,6 +15,7 @@
 #include "servers/gateway/request_flow.hpp"
 #include "servers/gateway/request_permits.hpp"
 #include "servers/gateway/store_sync.hpp"
+#include "servers/gateway/stream_records.hpp"
 
 #include <csignal>
 #include <filesystem>
@@ -120,6 +121,7 @@
     crash_guard guard_;
     idempotency_claims claims_;
     request_permits permits_;
+    stream_records records_;
     request_flow flow_;
     engine_controller engine_controller_;
     fleet_membership membership_;
@@ -159,7 +161,8 @@
           [this](const daemon_id& member, const fleet_message& message)
           { send_to_member(member, message); },
           [this](const fleet_message& message) { broadcast(message); }),
-      flow_(context_, caller_server_, pool_, guard_, claims_, permits_,
+      records_(context_, [this] { return membership_.watch().is_loaded(); }),
+      flow_(context_, caller_server_, pool_, guard_, claims_, permits_, records_,
             [this](const load_request_message& request) { request_load(request); }),
       engine_controller_(
           context_,
@@ -205,6 +208,8 @@
                 [this] { broadcast_endpoint_load(); });
         });
     permits_.on_available([this] { dispatch_waiting(); });
+    membership_.on_base_version([this](const store_item& item)
+                                { records_.on_base_version(item); });
     context_.incarnation = {random_hex(incarnation_bytes)};
     engine_controller_.attach(membership_);
 }
@@ -475,6 +480,7 @@
     watcher_.remove_gone_endpoints();
     guard_.run_periodic_work();
     claims_.remove_expired_claims();
+    records_.run_periodic_work();
     store_sync_.run_periodic_work();
     const bool close_all =
         context_.leaving && context_.loop.now() - shutdown_began_ > close_idle_after;
--- a/servers/gateway/gateway_settings.cpp
+++ b/servers/gateway/gateway_settings.cpp
@@ -57,6 +57,9 @@
 void read_store(gateway_settings& settings, toml_reader& reader)
 {
     settings.store_address = read_address_setting(reader, "address", "");
+    constexpr long long max_writes_per_second = 1'000'000;
+    settings.store_writes_per_second = static_cast<int>(reader.number(
+        "writes_per_s", settings.store_writes_per_second, 1, max_writes_per_second));
     settings.lease.time_to_live =
         read_duration_setting(reader, "lease_ms", settings.lease.time_to_live);
     settings.lease.margin =
--- a/servers/gateway/gateway_settings.hpp
+++ b/servers/gateway/gateway_settings.hpp
@@ -28,6 +28,8 @@
     // Address at which reports for operators and metrics are served; not served if empty.
     network_address metrics_address;
     network_address store_address;
+    // The writes per second that the store takes from all daemons together.
+    int store_writes_per_second = 400;
     // Name of the module that implements the platform's wire protocol.
     std::string dialect = "fleet";
     // Name of the module with an additional interface for callers; none if empty.
--- a/servers/gateway/http_exchange.hpp
+++ b/servers/gateway/http_exchange.hpp
@@ -23,6 +23,8 @@
 {
     // Waits for the result of the claim on its idempotency key.
     claiming,
+    // Waits for the software version of the stream that it resumes.
+    locating,
     // Waits for an endpoint; no attempt is in progress.
     waiting,
     // Sent to an endpoint; no part of the response has been sent to the caller.
@@ -70,8 +72,19 @@
     std::optional<endpoint_id> load_engine;
     instant load_requested_at{};
 
+    // The only software version that may run the request: the one that began the stream,
+    // or for which a record has been written.
+    std::optional<software_version> software;
+    // The record of the stream's version is being written; no event is passed on until
+    // then.
+    bool record_pending = false;
+    // The response has ended while the record was being written.
+    bool held_end = false;
+
     // The endpoint of the last attempt; empty if there was none.
     endpoint_id endpoint;
+    // The software version of that endpoint.
+    software_version attempt_software;
     // The permit of the last attempt, if the endpoint had a request limit.
     std::optional<held_permit> permit;
     // The connection to the endpoint; 0 if no attempt is in progress.
@@ -126,6 +139,26 @@
            exchange.phase == exchange_phase::resuming;
 }
 
+// True if the request's stream may be resumed, by this daemon or by its caller.
+inline bool is_resumable(const http_exchange& exchange)
+{
+    return exchange.matched_route->kind == route_kind::streaming &&
+           exchange.matched_route->resumable;
+}
+
+// True if the caller has received a part of the stream before.
+inline bool is_resumed_by_caller(const http_exchange& exchange)
+{
+    return is_resumable(exchange) && !exchange.request.last_event_id.empty();
+}
+
+// The request that began the stream: this one, or an earlier one of its caller.
+inline const request_id& stream_id_of(const http_exchange& exchange)
+{
+    return exchange.request.stream_begun_by.empty() ? exchange.request.id
+                                                    : exchange.request.stream_begun_by;
+}
+
 // True if part of a response has been sent to the caller.
 inline bool response_has_begun(const http_exchange& exchange)
 {
--- a/servers/gateway/idempotency_claims.cpp
+++ b/servers/gateway/idempotency_claims.cpp
@@ -200,18 +200,10 @@
                  });
 }
 
-bool idempotency_claims::is_first_member() const
-{
-    for (const auto& [id, member] : context_.fleet.members)
-        if (member.leased)
-            return id == context_.settings.id;
-    return false;
-}
-
 void idempotency_claims::remove_expired_claims()
 {
     const instant now = context_.loop.now();
-    if (removal_in_progress_ || !is_first_member() ||
+    if (removal_in_progress_ || !is_first_member(context_.fleet) ||
         (last_removal_ != instant{} && now - last_removal_ < removal_interval))
         return;
     last_removal_ = now;
--- a/servers/gateway/idempotency_claims.hpp
+++ b/servers/gateway/idempotency_claims.hpp
@@ -62,8 +62,6 @@
     // Reads a page of records after the given key and removes the expired ones, then goes
     // on with the next page.
     void remove_expired_claims_after(const std::string& after);
-    // True if this daemon has the lowest id of all members with a lease.
-    bool is_first_member() const;
 
     gateway_context& context_;
     store_client client_;
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -68,6 +68,12 @@
     if (!guard_.prompt_parts().admits(exchange))
         return refuse_or_fail(exchange, "prompt_part_blocked",
                               "a part of the prompt crashed the endpoints that ran it");
+    if (exchange.software &&
+        !registered_versions(context_.fleet, exchange.service, now).empty() &&
+        !is_version_serving(context_.fleet, exchange.service, *exchange.software, now))
+        return refuse_or_fail(exchange, "stream_version_unavailable",
+                              "no endpoint runs the software version that began the "
+                              "stream");
     const dispatch_query query = dispatch_query_for(exchange);
     const dispatch_decision decision = choose_endpoint(context_.fleet, query, now);
     if (decision.needs_load || decision.needs_replica)
@@ -107,6 +113,11 @@
     query.failed = &exchange.excluded_endpoints;
     query.request_hash = request_hash(exchange);
     query.prompt_tokens = exchange.request.prompt_tokens;
+    query.software = exchange.software;
+    if (!query.software && is_resumable(exchange))
+        query.software =
+            version_for_new_stream(context_.fleet, exchange.service,
+                                   store_silence(context_), context_.loop.now());
     return query;
 }
 
@@ -134,8 +145,10 @@
     request.urgency = exchange.matched_route->priority;
     // An engine at which the request failed may still hold the adapter, but the request
     // isn't sent there again. The load counts as a replica, because the holder would drop
-    // any other load of an adapter that another engine holds.
-    request.replica = replica || !exchange.failed_endpoints.empty();
+    // any other load of an adapter that another engine holds; so does one for a stream
+    // that only some engines may run.
+    request.replica =
+        replica || !exchange.failed_endpoints.empty() || query.software.has_value();
     request.waiting = replica
                           ? replica_benefit(context_.fleet, exchange.request.adapter, now)
                           : requests_waiting_for(exchange.request.adapter);
@@ -180,12 +193,14 @@
         fields.description = exchange.request;
 
     exchange.endpoint = endpoint;
+    exchange.attempt_software = view.record.software;
     exchange.sends += 1;
     exchange.sent_at = now;
     exchange.has_response_head = false;
     exchange.discards_response = false;
     exchange.discarded_responses = 0;
     exchange.is_paused = false;
+    exchange.held_end = false;
     exchange.boundary = {};
     exchange.phase = exchange.phase == exchange_phase::resuming
                          ? exchange_phase::responding
@@ -205,6 +220,7 @@
                        context_.dialect.write_forwarded_request(
                            exchange.head, exchange.body.size(), fields) +
                            exchange.body);
+    record_stream_version(exchange, view.record);
     record_sent(view, now);
     view.in_flight += 1;
     view.pending_prefill_tokens += exchange.request.prompt_tokens;
@@ -221,6 +237,20 @@
                                      to_seconds(now - exchange.arrived));
 }
 
+void request_flow::record_stream_version(http_exchange& exchange,
+                                         const endpoint_record& endpoint)
+{
+    if (!is_resumable(exchange) || exchange.software ||
+        !needs_record(context_.fleet, exchange.service, endpoint.software,
+                      context_.loop.now()))
+        return;
+    exchange.software = endpoint.software;
+    exchange.record_pending = true;
+    const exchange_id id = exchange.id;
+    records_.record(exchange.request.id, endpoint.software,
+                    [this, id] { on_stream_recorded(id); });
+}
+
 void request_flow::record_prefill_done(http_exchange& exchange, endpoint_view& view)
 {
     if (exchange.prefill_pending)
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -11,6 +11,7 @@
 #include "servers/gateway/http_server.hpp"
 #include "servers/gateway/idempotency_claims.hpp"
 #include "servers/gateway/request_permits.hpp"
+#include "servers/gateway/stream_records.hpp"
 
 #include <functional>
 #include <map>
@@ -31,7 +32,7 @@
 
     request_flow(gateway_context& context, http_server& callers, connection_pool& pool,
                  crash_guard& guard, idempotency_claims& claims, request_permits& permits,
-                 load_request_handler request_load);
+                 stream_records& records, load_request_handler request_load);
 
     // Handles a request up to its response, which is sent on the caller's stream.
     void handle_request(stream_id caller, const http_head& head, std::string body);
@@ -60,6 +61,14 @@
 private:
     // Matches the request to a route, sets its time limits and starts its dispatch.
     void admit(http_exchange& exchange);
+    // Finds the software version that began the stream which the caller resumes.
+    void locate_stream_version(http_exchange& exchange);
+    void on_stream_located(exchange_id id, const stream_origin& origin);
+    // Has the version of a new stream recorded, if it needs a record.
+    void record_stream_version(http_exchange& exchange, const endpoint_record& endpoint);
+    void on_stream_recorded(exchange_id id);
+    // Keeps to the version of the present attempt, whose response begins the stream.
+    void remember_stream_version(http_exchange& exchange);
     void claim_idempotency_key(http_exchange& exchange);
     void on_claim(exchange_id id, const claim_decision& decision);
     // Releases the claim of a request that certainly didn't run, or abandons it while it
@@ -153,6 +162,8 @@
                        const std::string& reason);
     void log_event(const http_exchange& exchange, std::string_view event,
                    std::string_view reason);
+    // A hash of the stream's id, the same at all daemons and when the stream is resumed.
+    std::uint64_t stream_hash(const http_exchange& exchange) const;
     // A hash of the request's id and this daemon's id, which spreads choices between
     // equal alternatives.
     std::uint64_t request_hash(const http_exchange& exchange) const;
@@ -163,6 +174,7 @@
     crash_guard& guard_;
     idempotency_claims& claims_;
     request_permits& permits_;
+    stream_records& records_;
     load_request_handler request_load_;
     std::uint64_t next_id_ = 1;
     std::unordered_map<std::uint64_t, http_exchange> exchanges_;
--- a/servers/gateway/request_flow_admission.cpp
+++ b/servers/gateway/request_flow_admission.cpp
@@ -21,9 +21,9 @@
 request_flow::request_flow(gateway_context& context, http_server& callers,
                            connection_pool& pool, crash_guard& guard,
                            idempotency_claims& claims, request_permits& permits,
-                           load_request_handler request_load)
+                           stream_records& records, load_request_handler request_load)
     : context_(context), callers_(callers), pool_(pool), guard_(guard), claims_(claims),
-      permits_(permits), request_load_(std::move(request_load))
+      permits_(permits), records_(records), request_load_(std::move(request_load))
 {
 }
 
@@ -32,6 +32,11 @@
     return rendezvous_weight(exchange.request.id.value, context_.settings.id.value);
 }
 
+std::uint64_t request_flow::stream_hash(const http_exchange& exchange) const
+{
+    return rendezvous_weight(stream_id_of(exchange).value, exchange.matched_route->name);
+}
+
 void request_flow::handle_request(stream_id caller, const http_head& head,
                                   std::string body)
 {
@@ -72,7 +77,7 @@
     if (exchange.matched_route == nullptr)
         return fail(exchange, status_not_found, "unknown_route",
                     "no route matches the path");
-    exchange.service = pick_service(*exchange.matched_route, request_hash(exchange));
+    exchange.service = pick_service(*exchange.matched_route, stream_hash(exchange));
     const std::string unknown_model_reason =
         exchange.request.has_platform_fields
             ? std::string()
@@ -80,8 +85,6 @@
                                        exchange.request);
     if (!unknown_model_reason.empty())
         return fail(exchange, status_not_found, "unknown_model", unknown_model_reason);
-    if (!exchange.request.last_event_id.empty())
-        log_resumption_by_caller(exchange);
     const milliseconds time_limit =
         std::min(exchange.request.deadline.value_or(exchange.matched_route->timeout),
                  exchange.matched_route->timeout);
@@ -95,6 +98,32 @@
         context_.loop.schedule(exchange.deadline, [this, id] { on_deadline(id); });
     if (!exchange.request.caller_idempotency_key.empty())
         return claim_idempotency_key(exchange);
+    if (is_resumed_by_caller(exchange))
+        return locate_stream_version(exchange);
+    try_dispatch(id);
+}
+
+void request_flow::locate_stream_version(http_exchange& exchange)
+{
+    log_resumption_by_caller(exchange);
+    exchange.phase = exchange_phase::locating;
+    const exchange_id id = exchange.id;
+    records_.find(exchange.request.stream_begun_by, exchange.service,
+                  [this, id](const stream_origin& origin)
+                  { on_stream_located(id, origin); });
+}
+
+void request_flow::on_stream_located(exchange_id id, const stream_origin& origin)
+{
+    const auto found = exchanges_.find(id.value);
+    if (found == exchanges_.end())
+        return;
+    http_exchange& exchange = found->second;
+    exchange.phase = exchange_phase::waiting;
+    if (origin.source == origin_source::unknown)
+        return refuse(exchange, "stream_version_unknown",
+                      "it is not known which software version began the stream");
+    exchange.software = origin.version;
     try_dispatch(id);
 }
 
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -233,8 +233,26 @@
         relay_complete_response(exchange);
 }
 
+void request_flow::on_stream_recorded(exchange_id id)
+{
+    const auto found = exchanges_.find(id.value);
+    if (found == exchanges_.end())
+        return;
+    http_exchange& exchange = found->second;
+    exchange.record_pending = false;
+    const bool has_answer = exchange.phase == exchange_phase::sent &&
+                            exchange.has_response_head && !exchange.discards_response;
+    if (has_answer && (exchange.held_end || !exchange.reader->body.empty()))
+        relay(exchange, exchange.held_end);
+}
+
 void request_flow::relay_stream(http_exchange& exchange, bool is_complete)
 {
+    if (exchange.record_pending)
+    {
+        exchange.held_end = is_complete;
+        return;
+    }
     if (exchange.phase != exchange_phase::responding)
         begin_stream(exchange);
     std::string bytes = std::move(exchange.reader->body);
@@ -275,9 +293,17 @@
     complete(exchange, true);
 }
 
+void request_flow::remember_stream_version(http_exchange& exchange)
+{
+    exchange.software = exchange.attempt_software;
+    records_.remember(stream_id_of(exchange), exchange.attempt_software);
+}
+
 void request_flow::begin_stream(http_exchange& exchange)
 {
     exchange.phase = exchange_phase::responding;
+    if (is_resumable(exchange))
+        remember_stream_version(exchange);
     log_event(exchange, "answer began", "");
     context_.metrics.observe_seconds("pollenhaven_first_byte_seconds",
                                      to_seconds(context_.loop.now() - exchange.arrived));
--- /dev/null
+++ b/servers/gateway/stream_records.cpp
@@ -0,0 +1,412 @@
+#include "servers/gateway/stream_records.hpp"
+
+#include "policy/crash_history.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace pollenhaven
+{
+
+namespace
+{
+
+// Not below the prefix that all daemons watch: a record is read only when it is needed.
+constexpr const char* record_prefix = "pollenhaven-streams/";
+constexpr int status_ok = 200;
+constexpr milliseconds call_timeout{900};
+constexpr milliseconds retry_interval{100};
+// A stream waits for its record up to this long. Callers give a stream up after a gap of
+// two seconds or more.
+constexpr milliseconds max_record_wait{1500};
+// A caller's resumption waits this long for the store.
+constexpr milliseconds max_search_time{2000};
+// Within this time after a restored store was first seen, all daemons have written again
+// the records that it has lost.
+constexpr milliseconds rewrite_time{5000};
+// The store's limit on the entries of one transaction.
+constexpr std::size_t max_batch_entries = 32;
+// Removals that are due are written in full batches, or when the next record is.
+constexpr std::size_t removals_per_write = 30;
+constexpr milliseconds base_check_interval{500};
+constexpr milliseconds listing_interval{60'000};
+
+// Ids come from callers and may contain any characters; keys have a fixed length.
+std::string record_key(const request_id& stream)
+{
+    return record_prefix + content_fingerprint("stream", stream.value);
+}
+
+std::string encode_record(const request_id& stream, const software_version& version)
+{
+    return nlohmann::json{{"stream", stream.value}, {"version", version.value}}.dump();
+}
+
+std::optional<software_version> decode_version(const std::string& value)
+{
+    const nlohmann::json entry = nlohmann::json::parse(value, nullptr, false);
+    if (!entry.is_object() || !entry.contains("version") || !entry["version"].is_string())
+        return std::nullopt;
+    return software_version{entry["version"].get<std::string>()};
+}
+
+const char* to_text(origin_source source)
+{
+    switch (source)
+    {
+    case origin_source::own_memory:
+        return "own memory";
+    case origin_source::record:
+        return "record";
+    case origin_source::base_version:
+        return "base version";
+    case origin_source::only_version:
+        return "only version";
+    case origin_source::unknown:
+        break;
+    }
+    return "unknown";
+}
+
+} // namespace
+
+stream_records::stream_records(gateway_context& context, loaded_check is_loaded)
+    : context_(context), is_loaded_(std::move(is_loaded)), writer_(context),
+      reader_(context)
+{
+}
+
+void stream_records::record(const request_id& stream, const software_version& version,
+                            recorded_handler done)
+{
+    known_[stream] = {version, context_.loop.now(), false, true};
+    pending_.push_back({stream, version, context_.loop.now(), std::move(done)});
+    context_.loop.schedule_after(max_record_wait, [this] { release_late_streams(); });
+    schedule_write();
+}
+
+void stream_records::schedule_write()
+{
+    if (write_scheduled_ || write_in_progress_ ||
+        (pending_.empty() && removals_.size() < removals_per_write))
+        return;
+    write_scheduled_ = true;
+    const milliseconds interval = record_write_interval(
+        live_member_count(context_.fleet), context_.settings.store_writes_per_second);
+    context_.loop.schedule(std::max(context_.loop.now(), last_write_ + interval),
+                           [this]
+                           {
+                               write_scheduled_ = false;
+                               write_batch();
+                           });
+}
+
+void stream_records::write_batch()
+{
+    if (write_in_progress_)
+        return;
+    store_transaction transaction;
+    std::vector<pending_record> batch;
+    while (!pending_.empty() && batch.size() < max_batch_entries)
+    {
+        batch.push_back(std::move(pending_.front()));
+        pending_.pop_front();
+        transaction.writes.push_back(
+            {record_key(batch.back().stream),
+             encode_record(batch.back().stream, batch.back().version), 0});
+    }
+    std::vector<std::string> removals;
+    while (!removals_.empty() && batch.size() + removals.size() < max_batch_entries)
+    {
+        removals.push_back(removals_.front());
+        removals_.pop_front();
+    }
+    transaction.removals = removals;
+    write_in_progress_ = true;
+    last_write_ = context_.loop.now();
+    writer_.call(context_.dialect.transaction_call(transaction), call_timeout,
+                 [this, batch, removals](const http_result& result)
+                 { on_batch_written(batch, removals, result); });
+}
+
+void stream_records::on_batch_written(const std::vector<pending_record>& batch,
+                                      const std::vector<std::string>& removals,
+                                      const http_result& result)
+{
+    write_in_progress_ = false;
+    const bool is_written = result.has_response && result.status == status_ok;
+    context_.metrics.add("pollenhaven_stream_record_writes_total{outcome=\"" +
+                         std::string(is_written ? "written" : "failed") + "\"}");
+    if (is_written)
+    {
+        record_store_response(context_);
+        for (const pending_record& written : batch)
+            if (written.done)
+                written.done();
+        return schedule_write();
+    }
+    context_.log.write("stream records not written",
+                       {{"records", static_cast<std::int64_t>(batch.size())},
+                        {"status", std::int64_t{result.status}}});
+    removals_.insert(removals_.begin(), removals.begin(), removals.end());
+    pending_.insert(pending_.begin(), batch.begin(), batch.end());
+    std::erase_if(pending_, [this](const pending_record& entry)
+                  { return context_.loop.now() - entry.requested_at > stream_lifetime; });
+    release_late_streams();
+    context_.loop.schedule_after(retry_interval, [this] { schedule_write(); });
+}
+
+void stream_records::release_late_streams()
+{
+    const instant now = context_.loop.now();
+    std::vector<recorded_handler> released;
+    for (pending_record& entry : pending_)
+    {
+        if (!entry.done || now - entry.requested_at < max_record_wait)
+            continue;
+        context_.log.write(
+            "stream continues without its record",
+            {{"request", entry.stream.value}, {"software", entry.version.value}});
+        released.push_back(std::exchange(entry.done, nullptr));
+    }
+    for (const recorded_handler& done : released)
+        done();
+}
+
+void stream_records::remember(const request_id& stream, const software_version& version)
+{
+    known_stream& known = known_[stream];
+    known.version = version;
+    known.at = context_.loop.now();
+    known.has_begun = true;
+}
+
+void stream_records::find(const request_id& stream, const service_id& service,
+                          origin_handler done)
+{
+    const auto known = known_.find(stream);
+    if (known != known_.end() && known->second.has_begun)
+        return done({origin_source::own_memory, known->second.version});
+    if (stream.empty())
+        return finish_search(stream, service, record_lookup::unanswered, {}, done);
+    read_record(stream, service, context_.loop.now() + max_search_time, std::move(done));
+}
+
+void stream_records::read_record(const request_id& stream, const service_id& service,
+                                 instant until, origin_handler done)
+{
+    const std::string key = record_key(stream);
+    reader_.call(
+        context_.dialect.range_call(key, ""), call_timeout,
+        [this, stream, service, until, key,
+         done = std::move(done)](const http_result& result)
+        {
+            const auto retry = [this, stream, service, until, done]
+            {
+                if (context_.loop.now() + retry_interval > until)
+                    return finish_search(stream, service, record_lookup::unanswered, {},
+                                         done);
+                context_.loop.schedule_after(
+                    retry_interval, [this, stream, service, until, done]
+                    { read_record(stream, service, until, done); });
+            };
+            if (!result.has_response || result.status != status_ok)
+                return retry();
+            try
+            {
+                const store_page page = context_.dialect.read_page(result.body);
+                for (const store_item& item : page.items)
+                {
+                    const std::optional<software_version> version =
+                        decode_version(item.value);
+                    if (item.key == key && version)
+                        return finish_search(stream, service, record_lookup::found,
+                                             *version, done);
+                }
+            }
+            catch (const dialect_error& error)
+            {
+                context_.log.write("stream record not read",
+                                   {{"request", stream.value}, {"reason", error.what()}});
+                return retry();
+            }
+            if (!is_conclusive())
+                return retry();
+            finish_search(stream, service, record_lookup::absent, {}, done);
+        });
+}
+
+bool stream_records::is_conclusive() const
+{
+    return is_loaded_() && (!context_.era_seen_at ||
+                            context_.loop.now() - *context_.era_seen_at > rewrite_time);
+}
+
+void stream_records::finish_search(const request_id& stream, const service_id& service,
+                                   record_lookup lookup, const software_version& recorded,
+                                   const origin_handler& done)
+{
+    const stream_origin origin = locate_stream(context_.fleet, service, lookup, recorded,
+                                               is_conclusive(), context_.loop.now());
+    context_.log.write("stream located", {{"stream_begun_by", stream.value},
+                                          {"software", origin.version.value},
+                                          {"source", to_text(origin.source)}});
+    context_.metrics.add("pollenhaven_stream_searches_total{source=\"" +
+                         std::string(to_text(origin.source)) + "\"}");
+    done(origin);
+}
+
+void stream_records::on_base_version(const store_item& item)
+{
+    const service_id service{item.key.substr(std::string(base_version_prefix).size())};
+    const auto known = context_.fleet.base_versions.find(service);
+    if (item.deleted)
+    {
+        // A restored store may have lost the entry; the version stays what it was.
+        if (known != context_.fleet.base_versions.end())
+            known->second.revision = {};
+        return;
+    }
+    const std::optional<software_version> version = decode_version(item.value);
+    if (!version)
+        return context_.log.write("base version malformed", {{"key", item.key}});
+    base_version& entry = context_.fleet.base_versions[service];
+    const bool is_new = entry.revision.value == 0 && !entry.changed_at;
+    if (!is_new && entry.version != *version)
+        entry.changed_at = context_.loop.now();
+    entry.version = *version;
+    entry.revision = item.revision;
+    context_.log.write("base version",
+                       {{"service", service.value}, {"software", version->value}});
+}
+
+void stream_records::run_periodic_work()
+{
+    handle_new_era();
+    forget_ended_streams();
+    if (!is_loaded_() || !is_first_member(context_.fleet) || context_.leaving)
+        return;
+    update_base_versions();
+    remove_abandoned_records();
+}
+
+void stream_records::update_base_versions()
+{
+    const instant now = context_.loop.now();
+    if (context_.routing == nullptr || now - last_base_check_ < base_check_interval)
+        return;
+    last_base_check_ = now;
+    for (const auto& [service, details] : context_.routing->services)
+    {
+        if (!details.engine)
+            continue;
+        const auto base = context_.fleet.base_versions.find(service);
+        const bool is_absent = base != context_.fleet.base_versions.end() &&
+                               !registered_versions(context_.fleet, service, now)
+                                    .contains(base->second.version);
+        if (!is_absent)
+            base_absent_since_.erase(service);
+        std::optional<instant> absent_since;
+        if (is_absent)
+            absent_since = base_absent_since_.try_emplace(service, now).first->second;
+        const std::optional<software_version> next =
+            next_base_version(context_.fleet, service, absent_since, now);
+        if (next)
+            write_base_version(service, *next);
+    }
+}
+
+void stream_records::write_base_version(const service_id& service,
+                                        const software_version& version)
+{
+    const std::string key = base_version_prefix + service.value;
+    const auto known = context_.fleet.base_versions.find(service);
+    store_transaction transaction;
+    transaction.expected.push_back({key, known == context_.fleet.base_versions.end()
+                                             ? store_revision{}
+                                             : known->second.revision});
+    transaction.writes.push_back(
+        {key, nlohmann::json{{"version", version.value}}.dump(), 0});
+    // The watch shows the result, also if the response is lost.
+    reader_.call(context_.dialect.transaction_call(transaction), call_timeout,
+                 [](const http_result&) {});
+}
+
+void stream_records::handle_new_era()
+{
+    if (std::exchange(handled_era_, context_.fleet.era) == context_.fleet.era ||
+        !context_.era_seen_at)
+        return;
+    for (const auto& [stream, known] : known_)
+        if (known.has_record)
+            pending_.push_back({stream, known.version, context_.loop.now(), nullptr});
+    schedule_write();
+}
+
+void stream_records::forget_ended_streams()
+{
+    const instant now = context_.loop.now();
+    std::erase_if(known_,
+                  [&](const auto& entry)
+                  {
+                      const bool has_ended = now - entry.second.at > stream_lifetime;
+                      if (has_ended && entry.second.has_record)
+                          removals_.push_back(record_key(entry.first));
+                      return has_ended;
+                  });
+    schedule_write();
+}
+
+void stream_records::remove_abandoned_records()
+{
+    const instant now = context_.loop.now();
+    if (listing_in_progress_ || now - last_listing_ < listing_interval)
+        return;
+    last_listing_ = now;
+    listing_in_progress_ = true;
+    listed_records_.clear();
+    read_abandoned_page("");
+}
+
+void stream_records::read_abandoned_page(const std::string& after)
+{
+    reader_.call(context_.dialect.range_call(record_prefix, after), call_timeout,
+                 [this](const http_result& result)
+                 {
+                     listing_in_progress_ = false;
+                     if (!result.has_response || result.status != status_ok)
+                         return;
+                     try
+                     {
+                         const instant now = context_.loop.now();
+                         const store_page page = context_.dialect.read_page(result.body);
+                         for (const store_item& item : page.items)
+                         {
+                             listed_records_.insert(item.key);
+                             const instant first_seen =
+                                 seen_records_.try_emplace(item.key, now).first->second;
+                             // Its daemon would have removed it by now.
+                             if (now - first_seen > 2 * stream_lifetime)
+                                 removals_.push_back(item.key);
+                         }
+                         if (page.more && !page.items.empty())
+                         {
+                             listing_in_progress_ = true;
+                             return read_abandoned_page(page.items.back().key);
+                         }
+                         std::erase_if(seen_records_,
+                                       [this](const auto& entry) {
+                                           return !listed_records_.contains(entry.first);
+                                       });
+                     }
+                     catch (const dialect_error& error)
+                     {
+                         context_.log.write("stream records not listed",
+                                            {{"reason", error.what()}});
+                     }
+                 });
+}
+
+} // namespace pollenhaven
--- /dev/null
+++ b/servers/gateway/stream_records.hpp
@@ -0,0 +1,117 @@
+#ifndef POLLENHAVEN_SERVERS_GATEWAY_STREAM_RECORDS_HPP
+#define POLLENHAVEN_SERVERS_GATEWAY_STREAM_RECORDS_HPP
+
+#include "policy/fleet/stream_origin.hpp"
+#include "servers/gateway/gateway_context.hpp"
+#include "servers/gateway/store_client.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace pollenhaven
+{
+
+// The store's entries with the base versions of the services, below the prefix of all
+// entries that the members watch.
+inline constexpr const char* base_version_prefix = "pollenhaven/versions/";
+
+// Knows which software version began a stream, also after all daemons have restarted: it
+// keeps the records and base versions of policy/fleet/stream_origin.hpp in the store.
+class stream_records
+{
+public:
+    using recorded_handler = std::function<void()>;
+    using origin_handler = std::function<void(const stream_origin&)>;
+    // Returns true if this daemon has all base versions that the store has.
+    using loaded_check = std::function<bool()>;
+
+    stream_records(gateway_context& context, loaded_check is_loaded);
+
+    // Records the version to which a request for a new stream is sent. Records are
+    // written together, and written again until the store confirms them; `done` is called
+    // then, or after max_record_wait, when the stream must not wait any longer.
+    void record(const request_id& stream, const software_version& version,
+                recorded_handler done);
+    // Keeps in memory that the stream's first event came from this version.
+    void remember(const request_id& stream, const software_version& version);
+    // Finds the version that began a stream of the service. `done` is called with the
+    // result, at once if this daemon knows it.
+    void find(const request_id& stream, const service_id& service, origin_handler done);
+
+    // Applies a change of the entry of a service's base version.
+    void on_base_version(const store_item& item);
+    // Updates base versions, and removes records of streams that have ended. Must be
+    // called periodically.
+    void run_periodic_work();
+
+private:
+    struct pending_record
+    {
+        request_id stream;
+        software_version version;
+        instant requested_at;
+        // Null once it has been called.
+        recorded_handler done;
+    };
+    struct known_stream
+    {
+        software_version version;
+        // When it was last begun, resumed or recorded.
+        instant at;
+        // An event of it has been passed on.
+        bool has_begun = false;
+        bool has_record = false;
+    };
+
+    void schedule_write();
+    void write_batch();
+    void on_batch_written(const std::vector<pending_record>& batch,
+                          const std::vector<std::string>& removals,
+                          const http_result& result);
+    // Lets the streams go on whose records take too long to write.
+    void release_late_streams();
+    void read_record(const request_id& stream, const service_id& service, instant until,
+                     origin_handler done);
+    void finish_search(const request_id& stream, const service_id& service,
+                       record_lookup lookup, const software_version& recorded,
+                       const origin_handler& done);
+    bool is_conclusive() const;
+    void update_base_versions();
+    void write_base_version(const service_id& service, const software_version& version);
+    // Writes the records again that a restored store may have lost.
+    void handle_new_era();
+    void forget_ended_streams();
+    // Removes the records that daemons have left behind which have restarted since.
+    void remove_abandoned_records();
+    void read_abandoned_page(const std::string& after);
+
+    gateway_context& context_;
+    loaded_check is_loaded_;
+    store_client writer_;
+    store_client reader_;
+    std::deque<pending_record> pending_;
+    bool write_scheduled_ = false;
+    bool write_in_progress_ = false;
+    instant last_write_{};
+    // The streams that this daemon began or resumed, by the request that began them.
+    std::map<request_id, known_stream> known_;
+    // Keys of own records, in the order of their writing, and of those to be removed.
+    std::deque<std::string> removals_;
+    // Since when no endpoint has run a service's base version.
+    std::map<service_id, instant> base_absent_since_;
+    instant last_base_check_{};
+    store_era handled_era_;
+    // The records of any daemon that the last listings contained, and when first.
+    std::map<std::string, instant> seen_records_;
+    std::set<std::string> listed_records_;
+    instant last_listing_{};
+    bool listing_in_progress_ = false;
+};
+
+} // namespace pollenhaven
+
+#endif
--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -177,6 +177,7 @@
     test.add_endpoints("assistant");
     test.context.fleet.endpoints.at({"i-1"}).record.software = {"v1"};
     test.context.fleet.endpoints.at({"i-2"}).record.software = {"v2"};
+    test.context.fleet.base_versions[{"assistant"}].version = {"v1"};
     test.first.scripts = {{stream_head + chunk("id: 1\ndata: a\n\n"), true}};
     test.second.scripts = {{stream_head + chunk("id: 2\ndata: b\n\n") + "0\r\n\r\n"}};
     const std::string response = test.send_request("/again/1");
--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -132,6 +132,7 @@
     crash_guard guard;
     idempotency_claims claims;
     request_permits permits;
+    stream_records records;
     request_flow flow;
     scripted_endpoint first;
     scripted_endpoint second;
@@ -179,7 +180,8 @@
               [this](const daemon_id&, const fleet_message& message)
               { sent.push_back(message); },
               [this](const fleet_message& message) { broadcasts.push_back(message); }),
-          flow(context, callers, pool, guard, claims, permits,
+          records(context, [] { return true; }),
+          flow(context, callers, pool, guard, claims, permits, records,
                [this](const load_request_message& load)
                {
                    load_requests.push_back(load);
