--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -52,7 +52,15 @@
 fleet::fleet(const fleet_options& options)
     : directory_(make_temp_directory()), options_(options)
 {
-    store_address_ = start_standin({"--role=fleet-store"});
+    std::string store_ports;
+    std::vector<std::string> own_store_addresses;
+    for (int daemon = 0; options.proxy_links && daemon < options.daemons; ++daemon)
+    {
+        const std::string port = std::to_string(free_port());
+        store_ports += (store_ports.empty() ? "" : ",") + port;
+        own_store_addresses.push_back("127.0.0.1:" + port);
+    }
+    store_address_ = start_standin({"--role=fleet-store", "--more-ports=" + store_ports});
     write_configuration(1);
     start_service_endpoints();
     start_engines();
@@ -64,8 +72,12 @@
         store_addresses_by_daemon_.push_back(
             options.proxy_store
                 ? start_tcp_proxy(store_address_, store_proxy_control_addresses_)
+            : options.proxy_links
+                ? own_store_addresses.at(static_cast<std::size_t>(daemon))
                 : store_address_);
     }
+    if (options.proxy_links)
+        start_link_proxies();
     for (int daemon = 0; daemon < options.daemons; ++daemon)
     {
         write_settings(daemon);
@@ -102,12 +114,32 @@
     return address;
 }
 
+void fleet::start_link_proxies()
+{
+    for (const std::string& store : store_addresses_by_daemon_)
+    {
+        std::vector<std::string>& controls = link_control_addresses_.emplace_back();
+        json addresses;
+        for (const auto& [key, address] : endpoint_addresses_)
+            addresses[key] = start_tcp_proxy(address, controls);
+        control_standin(store, {{"addresses", addresses}});
+    }
+}
+
+void fleet::set_links(int daemon, const std::string& mode) const
+{
+    for (const std::string& control :
+         link_control_addresses_.at(static_cast<std::size_t>(daemon)))
+        control_standin(control, {{"mode", mode}});
+}
+
 void fleet::start_engines()
 {
     for (int engine = 0; engine < options_.engines; ++engine)
     {
         const std::string address = "127.0.0.1:" + std::to_string(free_port());
         engine_addresses_.push_back(address);
+        endpoint_addresses_["servers/" + engine_id(engine)] = address;
         advertised_engine_addresses_.push_back(
             options_.proxy_engines
                 ? start_tcp_proxy(address, engine_proxy_control_addresses_)
@@ -127,6 +159,7 @@
     const auto add = [&](const std::string& id, const std::string& service)
     {
         const std::string address = start_standin({"--role=plain", "--id=" + id});
+        endpoint_addresses_["servers/" + id] = address;
         put_store_item("servers/" + id, {{"service", service},
                                          {"addr", address},
                                          {"zone", "zone"},
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -33,6 +33,8 @@
     bool proxy_store = false;
     // The daemons connect to each engine through a TCP proxy of its own.
     bool proxy_engines = false;
+    // Each daemon connects to each endpoint through a TCP proxy of its own.
+    bool proxy_links = false;
     // Maximum number of engines to which one stream is sent. Above 1, an interrupted
     // stream is resumed on another engine.
     int stream_attempts = 1;
@@ -104,6 +106,8 @@
     void set_engine_state(int engine, const std::string& state) const;
     // Removes the engine's entry from the store. Its process keeps running.
     void remove_engine(int engine) const;
+    // Sets the mode of the proxies between a daemon and all endpoints.
+    void set_links(int daemon, const std::string& mode) const;
     // While the store is down, it answers every call with status 503.
     void set_store_down(bool down) const;
     // Writes the configuration with this version to the store. `extra_route` is the path
@@ -143,6 +147,9 @@
     std::string start_tcp_proxy(const std::string& target,
                                 std::vector<std::string>& control_addresses);
     void start_engines();
+    // Starts the proxies between each daemon and all endpoints, and has the store name
+    // them to this daemon.
+    void start_link_proxies();
     void start_service_endpoints();
     nlohmann::json engine_entry(int engine, const std::string& state) const;
     std::map<std::string, std::string>
@@ -162,6 +169,9 @@
     // The store's address in the settings of each daemon: its proxy, if there is one.
     std::vector<std::string> store_addresses_by_daemon_;
     std::vector<std::string> store_proxy_control_addresses_;
+    std::vector<std::vector<std::string>> link_control_addresses_;
+    // The address of each endpoint, by its key in the store.
+    std::map<std::string, std::string> endpoint_addresses_;
     std::vector<std::string> caller_addresses_;
     std::vector<std::string> peer_addresses_;
     std::map<int, process> daemons_;
--- a/tests/standins/fleet_store_standin.cpp
+++ b/tests/standins/fleet_store_standin.cpp
@@ -7,12 +7,15 @@
 #include <nlohmann/json.hpp>
 #include <openssl/evp.h>
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
+#include <sstream>
 #include <thread>
 #include <vector>
 
@@ -41,6 +44,50 @@
     return result;
 }
 
+std::string from_base64(const std::string& text)
+{
+    std::string result(3 * (text.size() / 4), '\0');
+    const int length =
+        EVP_DecodeBlock(reinterpret_cast<unsigned char*>(result.data()),
+                        reinterpret_cast<const unsigned char*>(text.data()),
+                        static_cast<int>(text.size()));
+    const auto padding = static_cast<std::size_t>(std::count(
+        text.end() - std::min<std::ptrdiff_t>(2, std::ssize(text)), text.end(), '='));
+    result.resize(static_cast<std::size_t>(length) - padding);
+    return result;
+}
+
+// The store as the users of one of its addresses see it: the endpoints' entries may name
+// other addresses, of proxies that only these users go through.
+class store_view
+{
+public:
+    void set_addresses(const json& addresses)
+    {
+        const std::lock_guard lock(mutex_);
+        addresses_ = addresses.get<std::map<std::string, std::string>>();
+    }
+
+    // Replaces the addresses in the items of a response.
+    void apply(json& items)
+    {
+        const std::lock_guard lock(mutex_);
+        for (json& item : items)
+        {
+            const auto found = addresses_.find(item["key"].get<std::string>());
+            if (found == addresses_.end() || !item.contains("value"))
+                continue;
+            json entry = json::parse(from_base64(item["value"].get<std::string>()));
+            entry["addr"] = found->second;
+            item["value"] = to_base64(entry.dump());
+        }
+    }
+
+private:
+    std::mutex mutex_;
+    std::map<std::string, std::string> addresses_;
+};
+
 class fleet_store
 {
 public:
@@ -260,15 +307,16 @@
     response.set_content(body.dump(), "application/json");
 }
 
-void add_read_handlers(httplib::Server& server, fleet_store& store,
+void add_read_handlers(httplib::Server& server, fleet_store& store, store_view& view,
                        const store_faults& faults)
 {
     server.Get("/v1/kv-range",
                [&](const httplib::Request& request, httplib::Response& response)
                {
-                   send_json(response, 200,
-                             store.range(request.get_param_value("pathPrefix"),
-                                         request.get_param_value("after")));
+                   json page = store.range(request.get_param_value("pathPrefix"),
+                                           request.get_param_value("after"));
+                   view.apply(page["items"]);
+                   send_json(response, 200, page);
                });
     server.Get(
         "/v1/kv-watch",
@@ -287,6 +335,8 @@
                 if (faults.down)
                     return send_json(response, status_unavailable, json::object());
             } while (events && (*events)["events"].empty() && steady::now() < until);
+            if (events)
+                view.apply((*events)["events"]);
             send_json(response, events ? 200 : status_gone,
                       events.value_or(json::object()));
         });
@@ -337,8 +387,9 @@
 // POST /control accepts the fields put {key: text or JSON value}, remove [keys],
 // down true|false, forget true (drops the history that watches read), copy true (keeps a
 // copy of the store), restore true (puts the copy in its place and starts the next era),
-// delay_ms and lose_replies (number of transactions whose responses are aborted).
-void add_control_handlers(httplib::Server& server, fleet_store& store,
+// delay_ms, lose_replies (number of transactions whose responses are aborted) and
+// addresses {key: address} (what the users of this address see in endpoints' entries).
+void add_control_handlers(httplib::Server& server, fleet_store& store, store_view& view,
                           store_faults& faults)
 {
     server.Post("/control",
@@ -346,6 +397,8 @@
                 {
                     const json change = json::parse(request.body);
                     const json puts = change.value("put", json::object());
+                    if (change.contains("addresses"))
+                        view.set_addresses(change["addresses"]);
                     for (const auto& [key, value] : puts.items())
                         store.put_text(key, value.is_string() ? value.get<std::string>()
                                                               : value.dump());
@@ -378,16 +431,38 @@
         });
 }
 
+// One of the store's addresses.
+struct store_server
+{
+    httplib::Server server;
+    store_view view;
+
+    store_server(fleet_store& store, store_faults& faults)
+    {
+        add_read_handlers(server, store, view, faults);
+        add_write_handlers(server, store, faults);
+        add_control_handlers(server, store, view, faults);
+    }
+};
+
 } // namespace
 
+// Besides its own port the store listens on those that --more-ports lists.
 int run_fleet_store(const options& option_values)
 {
     fleet_store store;
     store_faults faults;
-    httplib::Server server;
-    add_read_handlers(server, store, faults);
-    add_write_handlers(server, store, faults);
-    add_control_handlers(server, store, faults);
+    store_server main_server(store, faults);
+    std::vector<std::unique_ptr<store_server>> more_servers;
+    std::vector<std::thread> threads;
+    std::stringstream ports(text_option(option_values, "more-ports", ""));
+    for (std::string port; std::getline(ports, port, ',');)
+    {
+        more_servers.push_back(std::make_unique<store_server>(store, faults));
+        threads.emplace_back(
+            [&server = more_servers.back()->server, number = std::stoi(port)]
+            { server.listen("127.0.0.1", number); });
+    }
     std::jthread leases(
         [&](const std::stop_token& stop)
         {
@@ -398,7 +473,12 @@
                     store.expire_leases();
             }
         });
-    return serve(server, option_values);
+    const int result = serve(main_server.server, option_values);
+    for (const std::unique_ptr<store_server>& further : more_servers)
+        further->server.stop();
+    for (std::thread& thread : threads)
+        thread.join();
+    return result;
 }
 
 } // namespace pollenhaven::standins
