Serve the callers of a daemon that is cut off from all endpoints through its peers (RECOVER)

Now a daemon that can't establish connections to three endpoints in a row, or hears nothing from any while it waits, probes others; if these fail too, it relays the requests of its callers over HTTP to a peer that reaches endpoints, which serves them as its own: deadline, attempts, streams, refusals and a caller that leaves go through. A relayed request is never relayed again, and a peer that is lost counts as a possible run. The state is announced in heartbeats: the directory leaves such daemons out unless they are most of all, no engine with such a holder is chosen for a load, and the holder gives up its claims once no order of it can be in transit. Failures of a cut-off daemon are no evidence of crashes. One established connection ends the state, so a daemon that is wrong about it still serves, at the cost of a hop.

Ruled out: taking such daemons off the directory alone, since callers keep addresses, and relaying orders, since two daemons would then order one engine.

--- a/core/interfaces/platform_dialect.hpp
+++ b/core/interfaces/platform_dialect.hpp
@@ -84,6 +84,17 @@
     std::optional<caller_request> description;
 };
 
+// The fields that change when a daemon passes a caller's request on to another daemon.
+struct relay_fields
+{
+    // The time left until the caller's deadline.
+    milliseconds deadline{0};
+    // The last event of the stream that the caller has; empty if it has none.
+    std::string last_event_id;
+    // The request that began that stream.
+    request_id stream_begun_by;
+};
+
 // The head of an endpoint's response.
 struct endpoint_response
 {
@@ -222,6 +233,10 @@
     std::function<std::string(const http_head&, std::size_t body_bytes,
                               const forwarding_fields&)>
         write_forwarded_request;
+    // Writes the request as its caller would have sent it to the other daemon.
+    std::function<std::string(const http_head&, std::size_t body_bytes,
+                              const relay_fields&)>
+        write_relayed_request;
     std::function<endpoint_response(const http_head&)> read_response;
     // Returns the header lines of an endpoint's response that are forwarded to the
     // caller.
--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -122,6 +122,15 @@
     return cost * (1 + static_cast<double>(noise) / 10000);
 }
 
+// Returns true if the engine has a holder that can send it orders.
+bool can_be_ordered(const fleet_view& fleet, const endpoint_view& endpoint)
+{
+    const auto holder = fleet.members.find(endpoint.holder);
+    const bool is_holder_cut_off =
+        holder != fleet.members.end() && holder->second.cut_off;
+    return !endpoint.holder.empty() && !is_holder_cut_off;
+}
+
 // Returns the mean number of requests in flight at the service's available endpoints.
 double mean_in_flight(const fleet_view& fleet, const dispatch_query& query, instant now)
 {
@@ -277,8 +286,7 @@
     std::vector<std::pair<std::uint64_t, const endpoint_view*>> ranked;
     for (const auto& [id, endpoint] : fleet.endpoints)
     {
-        const bool has_holder = !endpoint.holder.empty();
-        if (!is_candidate(endpoint, query, now) || !has_holder ||
+        if (!is_candidate(endpoint, query, now) || !can_be_ordered(fleet, endpoint) ||
             !has_loaded_model(endpoint, query.model) ||
             find_adapter(fleet, endpoint, query.adapter) != nullptr)
             continue;
--- a/policy/fleet/endpoint_selection.hpp
+++ b/policy/fleet/endpoint_selection.hpp
@@ -55,9 +55,9 @@
 // Selects the engine that should load an adapter. Engines are ranked by rendezvous
 // hashing, so that all daemons tend to agree without communicating. The rank is weighed
 // against queued loads, requests in flight and recent failures; an engine that had the
-// adapter loaded before is preferred. Only engines are considered that have a holder and
-// the base model, lack the adapter and accept requests; none if there are no such
-// engines.
+// adapter loaded before is preferred. Only engines are considered that have a holder
+// which reaches endpoints and the base model, lack the adapter and accept requests; none
+// if there are no such engines.
 std::optional<endpoint_id>
 choose_engine_for_load(const fleet_view& fleet, const dispatch_query& query, instant now);
 
--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -276,17 +276,27 @@
                       1, max_heartbeats_per_load_report);
 }
 
+bool is_usable_by_callers(const member_view& member, instant now)
+{
+    return member.ready && !member.leaving && now - member.last_message_at < peer_timeout;
+}
+
 std::vector<network_address> caller_addresses(const fleet_view& fleet, instant now)
 {
-    std::vector<network_address> addresses;
+    std::vector<const member_view*> usable;
     for (const auto& [id, member] : fleet.members)
-    {
-        const bool has_recent_message =
-            id == fleet.self || now - member.last_message_at < peer_timeout;
-        if (member.ready && !member.leaving && has_recent_message &&
+        if (id == fleet.self ? member.ready && !member.leaving
+                             : is_usable_by_callers(member, now))
+            usable.push_back(&member);
+    const auto cut_off =
+        std::count_if(usable.begin(), usable.end(),
+                      [](const member_view* member) { return member->cut_off; });
+    const bool leaves_out_cut_off = 2 * cut_off <= std::ssize(usable);
+    std::vector<network_address> addresses;
+    for (const member_view* const member : usable)
+        if (!(member->cut_off && leaves_out_cut_off) &&
             addresses.size() < max_directory_addresses)
-            addresses.push_back(member.caller_address);
-    }
+            addresses.push_back(member->caller_address);
     return addresses;
 }
 
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -26,6 +26,8 @@
     incarnation_id incarnation;
     bool ready = false;
     bool leaving = false;
+    // The member reaches no endpoint, as of its last heartbeat.
+    bool cut_off = false;
     // When the last heartbeat from the member arrived.
     instant last_message_at{};
     // The store has the member's entry, so its lease is in force.
@@ -253,8 +255,13 @@
 // heartbeat with loads is several times as long as one without.
 int heartbeats_per_load_report(int members);
 
+// Returns true if callers may be sent to the member: it is ready and up and isn't
+// leaving.
+bool is_usable_by_callers(const member_view& member, instant now);
+
 // Returns the addresses of the daemons that callers may use, including this one if it is
-// ready.
+// ready. Those that reach no endpoint are left out unless they are more than half of all,
+// whose load the others shouldn't get at once.
 std::vector<network_address> caller_addresses(const fleet_view& fleet, instant now);
 
 } // namespace pollenhaven
--- a/servers/gateway/connection_pool.cpp
+++ b/servers/gateway/connection_pool.cpp
@@ -62,6 +62,13 @@
     idle.push_back({stream, loop_.now() + idle_time});
 }
 
+void connection_pool::remove_all()
+{
+    for (const auto& [endpoint, idle] : std::exchange(idle_streams_, {}))
+        for (const idle_stream& entry : idle)
+            loop_.close(entry.stream);
+}
+
 void connection_pool::remove_endpoint(const endpoint_id& endpoint)
 {
     for (const idle_stream& entry : idle_streams_[endpoint])
--- a/servers/gateway/connection_pool.hpp
+++ b/servers/gateway/connection_pool.hpp
@@ -31,6 +31,8 @@
     // Closes all idle connections to an endpoint: it drains or was removed, or one of its
     // connections went silent, and others may have with it.
     void remove_endpoint(const endpoint_id& endpoint);
+    // Closes all idle connections.
+    void remove_all();
 
 private:
     struct idle_stream
--- a/servers/gateway/crash_guard.cpp
+++ b/servers/gateway/crash_guard.cpp
@@ -126,6 +126,13 @@
         crash_settle_time,
         [this, endpoint]
         {
+            // Connections that fail because of this daemon's links tell nothing about the
+            // endpoint.
+            if (is_cut_off(context_.links))
+            {
+                detector_.cut_off.erase(endpoint);
+                return;
+            }
             const positioned_parts parts =
                 unanswered_parts(detector_, endpoint, context_.loop.now());
             const std::map<std::string, int> changed =
--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -138,6 +138,13 @@
     return id;
 }
 
+bool event_loop::is_connected(stream_id id) const
+{
+    const auto found = streams_.find(id.value);
+    return found != streams_.end() &&
+           (found->second.has_written || !found->second.waiting_for_writable);
+}
+
 void event_loop::set_handlers(stream_id id, stream_handlers handlers)
 {
     streams_.at(id.value).handlers = std::move(handlers);
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -82,6 +82,8 @@
     // Until then the peer can't have received any of it. The current output begins with
     // the first send() after all earlier output was written.
     bool has_written(stream_id id) const;
+    // Returns true if the stream is open and its connection has been established.
+    bool is_connected(stream_id id) const;
     // Closes the stream at once, without writing pending output; `ended` isn't called.
     void close(stream_id id);
     // Closes the stream with a TCP reset, which also discards output in the kernel's
--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -90,7 +90,8 @@
     const order_permission* const permission = permission_for(endpoint);
     // The clock is read here, because the process may have been paused since the loop set
     // now().
-    return permission != nullptr && handled_era_ == context_.fleet.era &&
+    return permission != nullptr && !is_cut_off(context_.links) &&
+           handled_era_ == context_.fleet.era &&
            !unconfirmed_permissions_.contains(endpoint) &&
            may_order(*permission, lease_validity_, context_.settings.lease,
                      boot_clock::now());
@@ -265,6 +266,8 @@
     handle_outage_end();
     if (!member_entry_written_ || !watch_.is_loaded() || context_.leaving)
         return;
+    if (is_cut_off(context_.links))
+        return give_up_engines();
     for (const auto& [id, endpoint] : context_.fleet.endpoints)
     {
         const auto found = holders_.find(id);
@@ -298,6 +301,33 @@
     }
 }
 
+void fleet_membership::give_up_engines()
+{
+    const instant now = context_.loop.now();
+    if (permissions_.empty() ||
+        now - *context_.links.cut_off_since < context_.settings.max_order_delay ||
+        now - given_up_at_ < claim_interval)
+        return;
+    given_up_at_ = now;
+    store_transaction transaction;
+    for (const auto& [endpoint, permission] : permissions_)
+    {
+        if (transaction.expected.size() + transaction.removals.size() + 2 >
+            max_transaction_entries)
+            break;
+        const std::string key = holder_prefix + endpoint.value;
+        transaction.expected.push_back({key, holders_.at(endpoint).revision});
+        transaction.removals.push_back(key);
+    }
+    context_.log.write(
+        "engines given up",
+        {{"engines", static_cast<std::int64_t>(transaction.removals.size())},
+         {"reason", "cut off from endpoints"}});
+    // The result is ignored: the watch shows which keys are gone.
+    client_.call(context_.dialect.transaction_call(transaction), write_timeout,
+                 [](const http_result&) {});
+}
+
 void fleet_membership::claim(const endpoint_id& endpoint, const holder_record* holder)
 {
     const instant now = context_.loop.now();
--- a/servers/gateway/fleet_membership.hpp
+++ b/servers/gateway/fleet_membership.hpp
@@ -56,6 +56,9 @@
     void on_lease_lost();
     void write_member_entry(instant lease_sent);
     void claim(const endpoint_id& endpoint, const holder_record* holder);
+    // Removes the claims of a daemon that is cut off from its engines, once none of its
+    // orders can be in transit any more, so that other daemons can claim them.
+    void give_up_engines();
     bool is_engine(const endpoint_view& endpoint) const;
     void on_item(const store_item& item);
     void on_member(const daemon_id& id, const store_item& item);
@@ -91,6 +94,7 @@
     // When this daemon first checked whether to claim an engine, by engine.
     std::map<endpoint_id, instant> unheld_since_;
     std::map<endpoint_id, instant> last_claimed_at_;
+    instant given_up_at_{};
 };
 
 } // namespace pollenhaven
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -97,6 +97,8 @@
                 message.load_times.loads_at_full_speed}}};
     if (!message.has_endpoint_loads)
         body["partial"] = true;
+    if (message.cut_off)
+        body["cut_off"] = true;
     if (message.operator_change != store_position{})
     {
         body["rev"] = message.operator_change.revision.value;
@@ -267,6 +269,7 @@
     message.incarnation = {body.at("start").get<std::string>()};
     message.ready = body.at("ready").get<bool>();
     message.leaving = body.at("leaving").get<bool>();
+    message.cut_off = body.value("cut_off", false);
     message.store_silence = milliseconds(body.at("silence").get<long long>());
     message.endpoint_loads = decode_endpoint_loads(body.at("use"));
     message.has_endpoint_loads = !body.contains("partial");
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -39,6 +39,8 @@
     incarnation_id incarnation;
     bool ready = false;
     bool leaving = false;
+    // The sender reaches no endpoint.
+    bool cut_off = false;
     // The newest change of the operators' entries that the sender knows from the store.
     store_position operator_change;
     // Time since the store last responded to the sender.
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -293,6 +293,7 @@
     member.last_message_at = now;
     member.ready = message.ready;
     member.leaving = message.leaving;
+    member.cut_off = message.cut_off;
     member.store_silence = message.store_silence;
     member.era = message.era;
     adopt_load_times(fleet.load_times, message.load_times);
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -11,6 +11,7 @@
 #include "servers/gateway/gateway_statistics.hpp"
 #include "servers/gateway/http_server.hpp"
 #include "servers/gateway/idempotency_claims.hpp"
+#include "servers/gateway/link_monitor.hpp"
 #include "servers/gateway/load_observations.hpp"
 #include "servers/gateway/request_flow.hpp"
 #include "servers/gateway/request_permits.hpp"
@@ -122,6 +123,7 @@
     idempotency_claims claims_;
     request_permits permits_;
     stream_records records_;
+    link_monitor links_;
     request_flow flow_;
     engine_controller engine_controller_;
     fleet_membership membership_;
@@ -162,7 +164,13 @@
           { send_to_member(member, message); },
           [this](const fleet_message& message) { broadcast(message); }),
       records_(context_, [this] { return membership_.watch().is_loaded(); }),
-      flow_(context_, caller_server_, pool_, guard_, claims_, permits_, records_,
+      links_(context_, pool_,
+             [this]
+             {
+                 send_heartbeat();
+                 flow_.on_links_changed();
+             }),
+      flow_(context_, caller_server_, pool_, guard_, claims_, permits_, records_, links_,
             [this](const load_request_message& request) { request_load(request); }),
       engine_controller_(
           context_,
@@ -392,6 +400,7 @@
     message.incarnation = context_.incarnation;
     message.ready = is_ready(context_);
     message.leaving = context_.leaving;
+    message.cut_off = is_cut_off_confirmed(context_.links, context_.loop.now());
     message.store_silence = store_silence(context_);
     message.era = context_.fleet.era;
     if (context_.era_seen_at)
@@ -455,6 +464,7 @@
     member_view& self = context_.fleet.members[context_.settings.id];
     self.ready = is_ready(context_);
     self.leaving = context_.leaving;
+    self.cut_off = is_cut_off_confirmed(context_.links, context_.loop.now());
     self.last_message_at = context_.loop.now();
 }
 
@@ -481,6 +491,7 @@
     guard_.run_periodic_work();
     claims_.remove_expired_claims();
     records_.run_periodic_work();
+    links_.check_silence(flow_.waits_for_endpoints());
     store_sync_.run_periodic_work();
     const bool close_all =
         context_.leaving && context_.loop.now() - shutdown_began_ > close_idle_after;
@@ -587,6 +598,7 @@
                                     context_.settings.directory_address.value};
     for (const std::string& address : addresses)
         caller_server_.listen({address});
+    caller_server_.listen(context_.settings.peer_address, true);
     context_.loop.listen_for_datagrams(context_.settings.peer_address,
                                        [this](std::string_view bytes)
                                        { on_datagram(bytes); });
--- a/servers/gateway/gateway_context.hpp
+++ b/servers/gateway/gateway_context.hpp
@@ -5,6 +5,7 @@
 #include "core/interfaces/caller_interface.hpp"
 #include "core/interfaces/platform_dialect.hpp"
 #include "core/metrics.hpp"
+#include "policy/fleet/endpoint_links.hpp"
 #include "policy/fleet/order_permission.hpp"
 #include "servers/gateway/event_loop.hpp"
 #include "servers/gateway/gateway_settings.hpp"
@@ -37,6 +38,7 @@
     event_log log;
     metric_set metrics;
     fleet_view fleet;
+    endpoint_links links;
     // The configuration in force; null until one has been received.
     std::shared_ptr<const routing_table> routing;
     incarnation_id incarnation;
--- a/servers/gateway/http_exchange.hpp
+++ b/servers/gateway/http_exchange.hpp
@@ -27,7 +27,8 @@
     locating,
     // Waits for an endpoint; no attempt is in progress.
     waiting,
-    // Sent to an endpoint; no part of the response has been sent to the caller.
+    // Sent to an endpoint or to another daemon; no part of the response has been sent to
+    // the caller.
     sent,
     // Part of the response has been sent to the caller.
     responding,
@@ -42,6 +43,8 @@
     exchange_id id;
     // The connection to the caller.
     stream_id caller;
+    // Another daemon, which is cut off from the endpoints, has passed the request on.
+    bool is_from_peer = false;
     http_head head;
     std::string body;
     caller_request request;
@@ -83,6 +86,12 @@
 
     // The endpoint of the last attempt; empty if there was none.
     endpoint_id endpoint;
+    // The last attempt was a relay to another daemon, which `endpoint` names then.
+    bool is_relayed = false;
+    // The connection of the last attempt was opened for it.
+    bool is_new_connection = false;
+    // Daemons to which the request is not relayed again.
+    std::set<daemon_id> failed_relays;
     // The software version of that endpoint.
     software_version attempt_software;
     // The permit of the last attempt, if the endpoint had a request limit.
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -49,9 +49,16 @@
 {
 }
 
-void http_server::listen(const network_address& address)
+void http_server::listen(const network_address& address, bool for_peers)
 {
-    context_.loop.listen(address, [this](stream_id id) { on_accepted(id); });
+    context_.loop.listen(address,
+                         [this, for_peers](stream_id id) { on_accepted(id, for_peers); });
+}
+
+bool http_server::is_from_peer(stream_id caller) const
+{
+    const auto found = connections_.find(caller.value);
+    return found != connections_.end() && found->second.is_from_peer;
 }
 
 message_limits http_server::limits() const
@@ -64,12 +71,12 @@
     return result;
 }
 
-void http_server::on_accepted(stream_id id)
+void http_server::on_accepted(stream_id id, bool is_from_peer)
 {
     connections_.emplace(
         id.value,
         caller_connection{http_reader(http_reader::message_kind::request, limits()),
-                          false, true, context_.loop.now(), false});
+                          is_from_peer, false, true, context_.loop.now(), false});
     stream_handlers handlers;
     handlers.readable = [this](stream_id readable) { on_readable(readable); };
     handlers.ended = [this](stream_id ended, stream_end) { on_ended(ended); };
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -39,8 +39,11 @@
     http_server(gateway_context& context, request_handler on_request,
                 disconnect_handler on_disconnect);
 
-    // Throws std::runtime_error if the address can't be bound.
-    void listen(const network_address& address);
+    // `for_peers` tells requests that other daemons pass on from those of callers. Throws
+    // std::runtime_error if the address can't be bound.
+    void listen(const network_address& address, bool for_peers = false);
+    // Returns true if the request came from another daemon.
+    bool is_from_peer(stream_id caller) const;
     // Sends a complete response, with a length or ended by the connection. `fields` are
     // header lines, each of which ends in CRLF.
     void send_response(stream_id caller, int status, const std::string& fields,
@@ -71,6 +74,7 @@
     struct caller_connection
     {
         http_reader reader;
+        bool is_from_peer = false;
         // True from the time at which a request is complete to the end of its response.
         bool request_in_progress = false;
         bool keep_alive = true;
@@ -82,7 +86,7 @@
         body_framing framing = body_framing::chunked;
     };
 
-    void on_accepted(stream_id id);
+    void on_accepted(stream_id id, bool is_from_peer);
     void on_readable(stream_id id);
     void on_ended(stream_id id);
     void read_next(stream_id id);
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -12,8 +12,6 @@
 namespace
 {
 
-// An attempt fails if no byte of it could be sent within this time.
-constexpr milliseconds connect_timeout{250};
 // A load request is repeated after this time if the holder's inventory messages don't
 // show the load.
 constexpr milliseconds load_request_interval{120};
@@ -74,6 +72,10 @@
         return refuse_or_fail(exchange, "stream_version_unavailable",
                               "no endpoint runs the software version that began the "
                               "stream");
+    if (relay_to_peer(exchange))
+        return;
+    if (exchange.is_from_peer && is_cut_off(context_.links))
+        return refuse_or_fail(exchange, "cut_off", "this daemon reaches no endpoint");
     const dispatch_query query = dispatch_query_for(exchange);
     const dispatch_decision decision = choose_endpoint(context_.fleet, query, now);
     if (decision.needs_load || decision.needs_replica)
@@ -192,30 +194,16 @@
     if (!exchange.request.has_platform_fields)
         fields.description = exchange.request;
 
-    exchange.endpoint = endpoint;
+    begin_attempt(exchange, endpoint);
     exchange.attempt_software = view.record.software;
-    exchange.sends += 1;
-    exchange.sent_at = now;
-    exchange.has_response_head = false;
-    exchange.discards_response = false;
-    exchange.discarded_responses = 0;
-    exchange.is_paused = false;
-    exchange.held_end = false;
-    exchange.boundary = {};
-    exchange.phase = exchange.phase == exchange_phase::resuming
-                         ? exchange_phase::responding
-                         : exchange_phase::sent;
-    exchange.reader.emplace(http_reader::message_kind::response, message_limits{});
     const exchange_id id = exchange.id;
-    stream_handlers handlers;
-    handlers.readable = [this, id](stream_id) { on_upstream_readable(id); };
-    handlers.ended = [this, id](stream_id, stream_end end)
-    { on_upstream_ended(id, end); };
+    stream_handlers handlers = upstream_handlers(id);
     // Connections often go silent together, so a request that already failed somewhere
     // isn't sent on one that was open before.
     exchange.upstream = exchange.possible_runs > 0
                             ? pool_.open_connection(view.record, std::move(handlers))
                             : pool_.acquire_connection(view.record, std::move(handlers));
+    exchange.is_new_connection = !context_.loop.is_connected(exchange.upstream);
     context_.loop.send(exchange.upstream,
                        context_.dialect.write_forwarded_request(
                            exchange.head, exchange.body.size(), fields) +
@@ -237,6 +225,33 @@
                                      to_seconds(now - exchange.arrived));
 }
 
+void request_flow::begin_attempt(http_exchange& exchange, const endpoint_id& endpoint)
+{
+    exchange.endpoint = endpoint;
+    exchange.is_relayed = false;
+    exchange.sends += 1;
+    exchange.sent_at = context_.loop.now();
+    exchange.has_response_head = false;
+    exchange.discards_response = false;
+    exchange.discarded_responses = 0;
+    exchange.is_paused = false;
+    exchange.held_end = false;
+    exchange.boundary = {};
+    exchange.phase = exchange.phase == exchange_phase::resuming
+                         ? exchange_phase::responding
+                         : exchange_phase::sent;
+    exchange.reader.emplace(http_reader::message_kind::response, message_limits{});
+}
+
+stream_handlers request_flow::upstream_handlers(exchange_id id)
+{
+    stream_handlers handlers;
+    handlers.readable = [this, id](stream_id) { on_upstream_readable(id); };
+    handlers.ended = [this, id](stream_id, stream_end end)
+    { on_upstream_ended(id, end); };
+    return handlers;
+}
+
 void request_flow::record_stream_version(http_exchange& exchange,
                                          const endpoint_record& endpoint)
 {
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -10,6 +10,7 @@
 #include "servers/gateway/http_exchange.hpp"
 #include "servers/gateway/http_server.hpp"
 #include "servers/gateway/idempotency_claims.hpp"
+#include "servers/gateway/link_monitor.hpp"
 #include "servers/gateway/request_permits.hpp"
 #include "servers/gateway/stream_records.hpp"
 
@@ -21,6 +22,9 @@
 namespace pollenhaven
 {
 
+// An attempt fails if no byte of it could be sent within this time.
+constexpr milliseconds connect_timeout{250};
+
 // Forwards requests from callers to endpoints (request_flow_admission.cpp,
 // request_flow.cpp) and the responses back (request_flow_responses.cpp,
 // request_flow_completion.cpp). The rules are in policy/: which endpoint a request is
@@ -32,9 +36,12 @@
 
     request_flow(gateway_context& context, http_server& callers, connection_pool& pool,
                  crash_guard& guard, idempotency_claims& claims, request_permits& permits,
-                 stream_records& records, load_request_handler request_load);
+                 stream_records& records, link_monitor& links,
+                 load_request_handler request_load);
 
-    // Handles a request up to its response, which is sent on the caller's stream.
+    // Handles a request up to its response, which is sent on the caller's stream. While
+    // this daemon is cut off from the endpoints, it relays the requests of its callers to
+    // its peers (request_flow_relay.cpp).
     void handle_request(stream_id caller, const http_head& head, std::string body);
     // Ends the caller's request, if one is in progress. Its connection to an endpoint is
     // reset.
@@ -43,6 +50,11 @@
     void dispatch_waiting();
     // Does so for the requests that wait for one of these adapters.
     void dispatch_waiting_for(const std::set<adapter_id>& adapters);
+    // Reacts to a change of the links to the endpoints: dispatches what waits, and ends
+    // the attempts of a daemon that is cut off for which it can try something else.
+    void on_links_changed();
+    // Returns true if a request waits for bytes of an endpoint.
+    bool waits_for_endpoints() const;
     std::size_t requests_in_flight() const { return exchanges_.size(); }
     // Sets the function that is called when the load of an endpoint changes: a request
     // was sent, its prefill was completed or it ended. `at_engine` tells engines from
@@ -89,6 +101,24 @@
                               bool replica);
     int requests_waiting_for(const adapter_id& adapter) const;
     void send_to_endpoint(http_exchange& exchange, const endpoint_id& endpoint);
+    // Resets what belongs to one attempt, before the next one is sent to `endpoint`.
+    void begin_attempt(http_exchange& exchange, const endpoint_id& endpoint);
+    // The handlers of the connection of an attempt.
+    stream_handlers upstream_handlers(exchange_id id);
+    // Relays a waiting request to a peer if this daemon is cut off from the endpoints and
+    // a peer isn't. Returns false if it doesn't.
+    bool relay_to_peer(http_exchange& exchange);
+    void send_to_peer(http_exchange& exchange, const member_view& peer);
+    // Ends an attempt at a peer that failed.
+    void on_relay_failed(http_exchange& exchange, const std::string& reason,
+                         bool may_have_run);
+    // Relays the request to one more peer if the first one has refused it. Returns false
+    // if it doesn't.
+    bool try_another_peer(http_exchange& exchange);
+    // Keeps or releases the request's claim according to the error response of a peer.
+    void settle_relayed_claim(http_exchange& exchange);
+    // Updates the state of the links from an attempt on a new connection.
+    void record_connection_made(http_exchange& exchange);
     // Removes the request's prompt from the endpoint's pending prefill tokens.
     void record_prefill_done(http_exchange& exchange, endpoint_view& view);
     void record_endpoint_change(const http_exchange& exchange);
@@ -175,6 +205,7 @@
     idempotency_claims& claims_;
     request_permits& permits_;
     stream_records& records_;
+    link_monitor& links_;
     load_request_handler request_load_;
     std::uint64_t next_id_ = 1;
     std::unordered_map<std::uint64_t, http_exchange> exchanges_;
--- a/servers/gateway/request_flow_admission.cpp
+++ b/servers/gateway/request_flow_admission.cpp
@@ -21,9 +21,11 @@
 request_flow::request_flow(gateway_context& context, http_server& callers,
                            connection_pool& pool, crash_guard& guard,
                            idempotency_claims& claims, request_permits& permits,
-                           stream_records& records, load_request_handler request_load)
+                           stream_records& records, link_monitor& links,
+                           load_request_handler request_load)
     : context_(context), callers_(callers), pool_(pool), guard_(guard), claims_(claims),
-      permits_(permits), records_(records), request_load_(std::move(request_load))
+      permits_(permits), records_(records), links_(links),
+      request_load_(std::move(request_load))
 {
 }
 
@@ -45,6 +47,7 @@
     by_caller_[caller.value] = id;
     exchange.id = id;
     exchange.caller = caller;
+    exchange.is_from_peer = callers_.is_from_peer(caller);
     exchange.head = head;
     exchange.body = std::move(body);
     exchange.arrived = context_.loop.now();
@@ -91,12 +94,14 @@
     exchange.deadline = exchange.arrived + time_limit;
     exchange.wait_deadline =
         exchange.arrived + max_wait_time(*exchange.matched_route, time_limit);
-    count_request(attempts_[exchange.service], context_.settings.retry_budget,
-                  exchange.arrived);
+    // The daemon that relays a request counts it and holds its claim.
+    if (!exchange.is_from_peer)
+        count_request(attempts_[exchange.service], context_.settings.retry_budget,
+                      exchange.arrived);
     const exchange_id id = exchange.id;
     exchange.deadline_timer =
         context_.loop.schedule(exchange.deadline, [this, id] { on_deadline(id); });
-    if (!exchange.request.caller_idempotency_key.empty())
+    if (!exchange.request.caller_idempotency_key.empty() && !exchange.is_from_peer)
         return claim_idempotency_key(exchange);
     if (is_resumed_by_caller(exchange))
         return locate_stream_version(exchange);
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -89,7 +89,14 @@
     if (exchange.has_response_head)
         return;
     if (!context_.loop.has_written(exchange.upstream))
+    {
+        if (exchange.is_new_connection)
+            links_.on_connect_failed(exchange.endpoint, connect_failure::timed_out);
         return on_attempt_failed(exchange, "no connection", false);
+    }
+    record_connection_made(exchange);
+    if (exchange.is_relayed)
+        return;
     // A stream that is being resumed has no other attempt left that could be waited for.
     const bool is_resumed = exchange.phase == exchange_phase::responding;
     const milliseconds start_limit =
@@ -126,6 +133,8 @@
         relay(exchange, true);
         return;
     }
+    if (!sent && exchange.is_new_connection)
+        links_.on_connect_failed(exchange.endpoint, connect_failure::refused);
     on_attempt_failed(
         exchange, sent ? "the endpoint closed the connection" : "no connection", sent);
 }
@@ -133,6 +142,8 @@
 void request_flow::on_upstream_readable(exchange_id id)
 {
     http_exchange& exchange = exchanges_.at(id.value);
+    if (!exchange.is_relayed)
+        context_.links.last_heard_at = context_.loop.now();
     std::string& input = context_.loop.input(exchange.upstream);
     while (true)
     {
@@ -175,8 +186,10 @@
     exchange.response = context_.dialect.read_response(exchange.reader->head());
     exchange.has_response_head = true;
     const int status = exchange.reader->head().status;
-    const bool is_foreign =
-        !exchange.response.id.empty() && exchange.response.id != exchange.request.id;
+    // A request of the additional interface gets another id from each daemon.
+    const bool has_own_id = !exchange.is_relayed || exchange.request.has_platform_fields;
+    const bool is_foreign = has_own_id && !exchange.response.id.empty() &&
+                            exchange.response.id != exchange.request.id;
     if (status < first_final_status || is_foreign)
     {
         exchange.discards_response = true;
@@ -184,6 +197,10 @@
     }
     context_.loop.cancel(exchange.timer);
     exchange.timer = {};
+    // A peer's response is what the caller gets; the peer has evaluated the endpoint's.
+    if (exchange.is_relayed)
+        return !try_another_peer(exchange);
+    record_connection_made(exchange);
     permits_.on_response(exchange.endpoint, exchange.response, exchange.sent_at,
                          exchange.permit);
     if (exchange.response.not_run)
@@ -302,7 +319,7 @@
 void request_flow::begin_stream(http_exchange& exchange)
 {
     exchange.phase = exchange_phase::responding;
-    if (is_resumable(exchange))
+    if (is_resumable(exchange) && !exchange.is_relayed)
         remember_stream_version(exchange);
     log_event(exchange, "answer began", "");
     context_.metrics.observe_seconds("pollenhaven_first_byte_seconds",
@@ -310,7 +327,7 @@
     callers_.begin_response(
         exchange.caller, exchange.reader->head().status,
         context_.dialect.write_response_fields(exchange.reader->head()) +
-            extra_interface_fields(exchange),
+            (exchange.is_relayed ? "" : extra_interface_fields(exchange)),
         exchange.reader->has_length() ? body_framing::chunked
                                       : body_framing::connection_end);
 }
@@ -363,8 +380,9 @@
     if (exchange.is_paused)
         exchange.last_chunk_at = context_.loop.now();
     const auto silence = context_.loop.now() - exchange.last_chunk_at;
+    // A peer that relays the stream resumes it.
     const bool can_resume =
-        may_retry(exchange) &&
+        !exchange.is_relayed && may_retry(exchange) &&
         exchange.possible_runs + 1 < exchange.matched_route->max_attempts;
     const milliseconds limit = can_resume ? stream_stall_timeout : max_stream_silence;
     if (silence < limit)
@@ -380,13 +398,16 @@
     const std::string body = std::move(exchange.reader->body);
     const int status = exchange.reader->head().status;
     const bool has_length = exchange.reader->has_length();
-    if (exchange.claim_revision.value != 0)
+    const bool is_peers_error = exchange.is_relayed && !exchange.response.has_signature;
+    if (exchange.claim_revision.value != 0 && is_peers_error)
+        settle_relayed_claim(exchange);
+    else if (exchange.claim_revision.value != 0)
         claims_.record_response(exchange.claim, exchange.claim_revision, status, body,
                                 has_length);
     callers_.send_response(
         exchange.caller, status,
         context_.dialect.write_response_fields(exchange.reader->head()) +
-            extra_interface_fields(exchange),
+            (exchange.is_relayed ? "" : extra_interface_fields(exchange)),
         body, has_length ? body_framing::length : body_framing::connection_end);
     complete(exchange, true);
 }
@@ -396,7 +417,8 @@
     const std::string status = std::to_string(exchange.reader->head().status);
     log_event(exchange, "answered", status);
     count_outcome(exchange, "answered", status);
-    guard_.on_completed(exchange);
+    if (!exchange.is_relayed)
+        guard_.on_completed(exchange);
     const bool can_reuse = reuse && context_.loop.is_open(exchange.upstream) &&
                            context_.loop.input(exchange.upstream).empty() &&
                            exchange.reader->has_length() &&
@@ -460,6 +482,8 @@
 void request_flow::on_attempt_failed(http_exchange& exchange, const std::string& reason,
                                      bool may_have_run)
 {
+    if (exchange.is_relayed)
+        return on_relay_failed(exchange, reason, may_have_run);
     log_event(exchange, "attempt failed", reason);
     const auto view = context_.fleet.endpoints.find(exchange.endpoint);
     if (view != context_.fleet.endpoints.end())
@@ -484,7 +508,7 @@
     if (!may_retry(exchange))
         return fail(exchange, status_bad_gateway, "endpoint_failed", reason);
     const instant now = context_.loop.now();
-    if (exchange.request.adapter.empty())
+    if (exchange.request.adapter.empty() && !is_cut_off(context_.links))
     {
         const dispatch_decision other =
             choose_endpoint(context_.fleet, dispatch_query_for(exchange), now);
--- a/tests/contract/fleet_wire_test.cpp
+++ b/tests/contract/fleet_wire_test.cpp
@@ -119,6 +119,7 @@
     heartbeat.sender = {"daemon-1"};
     heartbeat.incarnation = {"start"};
     heartbeat.ready = true;
+    heartbeat.cut_off = true;
     heartbeat.store_silence = milliseconds(1234);
     heartbeat.endpoint_loads[{"i-1"}] = {3, 2400, {{{"base/a1"}, 2}}, {{{"base/a2"}, 5}}};
     heartbeat.load_observations = {{70, milliseconds(310), true}};
@@ -128,6 +129,7 @@
     BOOST_TEST(decoded_heartbeat.sender.value == "daemon-1");
     BOOST_TEST((decoded_heartbeat.operator_change == heartbeat.operator_change));
     BOOST_TEST(decoded_heartbeat.store_silence.count() == 1234);
+    BOOST_TEST(decoded_heartbeat.cut_off);
     BOOST_TEST(decoded_heartbeat.endpoint_loads.at({"i-1"}).pending_prefill_tokens ==
                2400);
     BOOST_TEST(decoded_heartbeat.endpoint_loads.at({"i-1"}).started_by_adapter.at(
--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -133,6 +133,7 @@
     idempotency_claims claims;
     request_permits permits;
     stream_records records;
+    link_monitor links;
     request_flow flow;
     scripted_endpoint first;
     scripted_endpoint second;
@@ -181,7 +182,8 @@
               { sent.push_back(message); },
               [this](const fleet_message& message) { broadcasts.push_back(message); }),
           records(context, [] { return true; }),
-          flow(context, callers, pool, guard, claims, permits, records,
+          links(context, pool, [this] { flow.on_links_changed(); }),
+          flow(context, callers, pool, guard, claims, permits, records, links,
                [this](const load_request_message& load)
                {
                    load_requests.push_back(load);
