--- a/tests/process/stream_version_test.cpp
+++ b/tests/process/stream_version_test.cpp
@@ -45,6 +45,7 @@
 {
     std::vector<event_stream> begun(streams);
     std::vector<std::thread> callers;
+    callers.reserve(streams);
     for (int number = 0; number < streams; ++number)
         callers.emplace_back(
             [&, number]
@@ -87,6 +88,7 @@
 {
     std::vector<event_stream> rest(streams);
     std::vector<std::thread> callers;
+    callers.reserve(streams);
     for (int number = 0; number < streams; ++number)
         callers.emplace_back(
             [&, number]
