--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -234,6 +234,13 @@
         else
             record_first_byte(view->second, to_milliseconds(now - exchange.sent_at), now);
     }
+    const bool continues_stream =
+        is_success(status) && is_event_stream(exchange.reader->head());
+    if (response_has_begun(exchange) && !continues_stream)
+    {
+        on_attempt_failed(exchange, "the stream was not resumed", true);
+        return false;
+    }
     if (status >= status_server_error &&
         exchange.possible_runs + 1 < exchange.matched_route->max_attempts &&
         may_retry(exchange))
--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -186,6 +186,38 @@
     BOOST_TEST(!response.ends_with("0\r\n\r\n"));
 }
 
+// Guards against the text of an error in the middle of a stream, and against a stream
+// that hangs because the error doesn't end (ORDER, MIXED).
+BOOST_AUTO_TEST_CASE(a_failure_does_not_continue_a_stream_and_ends_it_at_once)
+{
+    flow_fixture test;
+    test.add_endpoints("assistant");
+    test.first.scripts = {{stream_head + chunk("id: 1\ndata: a\n\n"), true}};
+    test.second.scripts = {{"HTTP/1.1 500 Failed\r\nX-Pollenhaven-Request-Id: ID\r\n" +
+                            signature_field + "Content-Length: 900\r\n\r\nno adapter"}};
+    const instant began = boot_clock::now();
+    const std::string response = test.send_request("/again/1");
+    BOOST_TEST(contains(response, "data: a"));
+    BOOST_TEST(!contains(response, "no adapter"));
+    BOOST_TEST(!response.ends_with("0\r\n\r\n"));
+    BOOST_TEST((boot_clock::now() - began < milliseconds(1000)));
+}
+
+// As above, with an answer that says success and is no stream.
+BOOST_AUTO_TEST_CASE(a_success_that_is_no_event_stream_does_not_continue_a_stream)
+{
+    flow_fixture test;
+    test.add_endpoints("assistant");
+    test.first.scripts = {{stream_head + chunk("id: 1\ndata: a\n\n"), true}};
+    test.second.scripts = {
+        {make_response("200 OK", signature_field + "Content-Type: application/json\r\n",
+                       "{\"error\":\"no adapter\"}")}};
+    const std::string response = test.send_request("/again/1");
+    BOOST_TEST(contains(response, "data: a"));
+    BOOST_TEST(!contains(response, "no adapter"));
+    BOOST_TEST(!response.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_waits_for_its_adapter_requests_one_load)
 {
     flow_fixture test;
