Don't take an earlier refusal, written once more, for the answer to a request (REFUSED, TWICE)

Users of other systems saw a faulty worker write an earlier refusal once more on a kept connection, and callers were refused as not run though the request ran. It could happen here in two ways: a refusal that names no request was taken as the answer to whatever was sent last on a kept connection, and the second send of a refused request, which has the same id, could go over a kept connection.

Now a refusal without an id on a connection that had served other requests counts as a possible run, and a request that was refused is sent again on a new connection. Both tests failed before. A connection that gave a refusal is never kept (read in the code: drop_upstream resets it). Cost: one new connection for each request that is sent again.

--- a/servers/gateway/http_exchange.hpp
+++ b/servers/gateway/http_exchange.hpp
@@ -90,6 +90,8 @@
     bool is_relayed = false;
     // The connection of the last attempt was opened for it.
     bool is_new_connection = false;
+    // The connection of the last attempt had served other requests before.
+    bool is_kept_connection = false;
     // Daemons to which the request is not relayed again.
     std::set<daemon_id> failed_relays;
     // The software version of that endpoint.
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -199,11 +199,14 @@
     const exchange_id id = exchange.id;
     stream_handlers handlers = upstream_handlers(id);
     // Connections often go silent together, so a request that already failed somewhere
-    // isn't sent on one that was open before.
-    exchange.upstream = exchange.possible_runs > 0
+    // isn't sent on one that was open before. Neither is one that was refused: all sends
+    // of a request have its id, and an endpoint may write a refusal twice.
+    const bool was_sent_before = exchange.possible_runs > 0 || exchange.sends > 1;
+    exchange.upstream = was_sent_before
                             ? pool_.open_connection(view.record, std::move(handlers))
                             : pool_.acquire_connection(view.record, std::move(handlers));
     exchange.is_new_connection = !context_.loop.is_connected(exchange.upstream);
+    exchange.is_kept_connection = !exchange.is_new_connection;
     context_.loop.send(exchange.upstream,
                        context_.dialect.write_forwarded_request(
                            exchange.head, exchange.body.size(), fields) +
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -207,6 +207,12 @@
     const auto responder = context_.fleet.endpoints.find(exchange.endpoint);
     if (responder != context_.fleet.endpoints.end())
         brittle_.on_response(responder->second, exchange.response, exchange.sent_at);
+    if (exchange.response.not_run && exchange.response.id.empty() &&
+        exchange.is_kept_connection)
+    {
+        on_attempt_failed(exchange, "the endpoint's refusal names no request", true);
+        return false;
+    }
     if (exchange.response.not_run)
     {
         on_endpoint_refused(exchange);
--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -218,6 +218,46 @@
     BOOST_TEST(!response.ends_with("0\r\n\r\n"));
 }
 
+// Guards against an earlier refusal, written once more, that is taken for the answer to a
+// request which runs (REFUSED, TWICE).
+BOOST_AUTO_TEST_CASE(a_refusal_without_an_id_on_a_kept_connection_is_not_trusted)
+{
+    flow_fixture test;
+    test.add_endpoints("plain");
+    const std::string kept =
+        make_response("200 OK", signature_field + "Keep-Alive: timeout=10\r\n", "fine");
+    test.first.scripts = {
+        {kept},
+        {replaced(not_executed_response, "X-Pollenhaven-Request-Id: ID\r\n", "")}};
+    test.second.scripts = {{ok_response}};
+    BOOST_TEST(test.send_request("/once/1").starts_with("HTTP/1.1 200"));
+    const std::string response = test.send_request("/once/1");
+    BOOST_TEST(test.first.connections == 1);
+    BOOST_TEST(test.first.requests.size() == 2U);
+    BOOST_TEST(response.starts_with("HTTP/1.1 502"));
+    BOOST_TEST(contains(response, "may_have_run"));
+    BOOST_TEST(test.second.requests.empty());
+}
+
+// As above: both sends of a request have its id, so the second one goes over a connection
+// on which nothing of the first one can come.
+BOOST_AUTO_TEST_CASE(a_refused_request_is_sent_again_on_a_new_connection)
+{
+    flow_fixture test;
+    test.add_endpoints("plain");
+    const std::string kept =
+        make_response("200 OK", signature_field + "Keep-Alive: timeout=10\r\n", "fine");
+    test.first.scripts = {{not_executed_response}};
+    test.second.scripts = {{kept}};
+    test.context.fleet.endpoints.at({"i-1"}).draining = true;
+    BOOST_TEST(test.send_request("/once/1").starts_with("HTTP/1.1 200"));
+    test.context.fleet.endpoints.at({"i-1"}).draining = false;
+    BOOST_TEST(test.send_request("/once/1").starts_with("HTTP/1.1 200"));
+    BOOST_TEST(test.first.requests.size() == 1U);
+    BOOST_TEST(test.second.requests.size() == 2U);
+    BOOST_TEST(test.second.connections == 2);
+}
+
 BOOST_AUTO_TEST_CASE(a_request_that_waits_for_its_adapter_requests_one_load)
 {
     flow_fixture test;
