--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -231,8 +231,8 @@
         {replaced(not_executed_response, "X-Pollenhaven-Request-Id: ID\r\n", "")}};
     test.second.scripts = {{ok_response}};
     BOOST_TEST(test.send_request("/once/1").starts_with("HTTP/1.1 200"));
-    const std::string response = test.send_request("/once/1");
     BOOST_TEST(test.first.connections == 1);
+    const std::string response = test.send_request("/once/1");
     BOOST_TEST(test.first.requests.size() == 2U);
     BOOST_TEST(response.starts_with("HTTP/1.1 502"));
     BOOST_TEST(contains(response, "may_have_run"));
