Send nothing more to an endpoint whose response says that it shuts down (DRAIN)

The daemons learned it from the store's entry only, a second later and not at all while the store is away. Now the endpoint counts as draining at this daemon with the head of such a response, and no connection to it is kept. The test fails without this: the second request went to the leaving endpoint.

--- a/core/interfaces/platform_dialect.hpp
+++ b/core/interfaces/platform_dialect.hpp
@@ -104,6 +104,8 @@
     bool has_signature = false;
     // The endpoint states that it did not run the request and never will.
     bool not_run = false;
+    // The endpoint shuts down.
+    bool is_leaving = false;
     // The endpoint that responded, if the response names it. It differs from the expected
     // one if another endpoint has taken over the address.
     endpoint_id endpoint;
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -132,6 +132,8 @@
     void on_upstream_ended(exchange_id id, stream_end end);
     // Evaluates the head of an endpoint's response. Returns false if the attempt ended.
     bool process_response_head(http_exchange& exchange);
+    // Sends no more requests to an endpoint whose response states that it shuts down.
+    void record_leaving(endpoint_view& endpoint);
     // Passes the response on to the caller: streams as their bytes arrive, any other
     // response once it is complete.
     void relay(http_exchange& exchange, bool is_complete);
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -206,7 +206,11 @@
                          exchange.permit);
     const auto responder = context_.fleet.endpoints.find(exchange.endpoint);
     if (responder != context_.fleet.endpoints.end())
+    {
         brittle_.on_response(responder->second, exchange.response, exchange.sent_at);
+        if (exchange.response.is_leaving && !responder->second.draining)
+            record_leaving(responder->second);
+    }
     if (exchange.response.not_run && exchange.response.id.empty() &&
         exchange.is_kept_connection)
     {
@@ -257,6 +261,16 @@
     return true;
 }
 
+void request_flow::record_leaving(endpoint_view& endpoint)
+{
+    endpoint.draining = true;
+    pool_.remove_endpoint(endpoint.record.id);
+    context_.log.write("endpoint", {{"endpoint", endpoint.record.id.value},
+                                    {"service", endpoint.record.service.value},
+                                    {"state", "draining"},
+                                    {"source", "response"}});
+}
+
 void request_flow::relay(http_exchange& exchange, bool is_complete)
 {
     const bool is_streamed = exchange.matched_route->kind == route_kind::streaming &&
@@ -436,7 +450,8 @@
     count_outcome(exchange, "answered", status);
     if (!exchange.is_relayed)
         guard_.on_completed(exchange);
-    const bool can_reuse = reuse && context_.loop.is_open(exchange.upstream) &&
+    const bool can_reuse = reuse && !exchange.response.is_leaving &&
+                           context_.loop.is_open(exchange.upstream) &&
                            context_.loop.input(exchange.upstream).empty() &&
                            exchange.reader->has_length() &&
                            exchange.reader->head().keep_alive;
--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -218,6 +218,23 @@
     BOOST_TEST(!response.ends_with("0\r\n\r\n"));
 }
 
+// Guards against requests at an endpoint that has stated in a response that it shuts down
+// and whose store entry doesn't say so yet (DRAIN).
+BOOST_AUTO_TEST_CASE(an_endpoint_whose_response_says_that_it_leaves_gets_nothing_more)
+{
+    flow_fixture test;
+    test.add_endpoints("plain");
+    test.first.scripts = {{make_response(
+        "200 OK", signature_field + "Server-Leaving: 1\r\nKeep-Alive: timeout=10\r\n",
+        "fine")}};
+    test.second.scripts = {{ok_response}};
+    BOOST_TEST(test.send_request("/once/1").starts_with("HTTP/1.1 200"));
+    BOOST_TEST(test.send_request("/once/1").starts_with("HTTP/1.1 200"));
+    BOOST_TEST(test.first.requests.size() == 1U);
+    BOOST_TEST(test.second.requests.size() == 1U);
+    BOOST_TEST(test.first.closed_by_daemon == 1);
+}
+
 // Guards against an earlier refusal, written once more, that is taken for the answer to a
 // request which runs (REFUSED, TWICE).
 BOOST_AUTO_TEST_CASE(a_refusal_without_an_id_on_a_kept_connection_is_not_trusted)
