Keep to the delay that an endpoint states with a refusal (BUDGET)

Now requests and orders wait until then, and a request for which all endpoints of its service have asked for a longer delay than it can wait is refused at once, with the earliest of these times. The test failed before: the second send reached the endpoint at once.

--- a/core/interfaces/platform_dialect.hpp
+++ b/core/interfaces/platform_dialect.hpp
@@ -104,6 +104,9 @@
     bool has_signature = false;
     // The endpoint states that it did not run the request and never will.
     bool not_run = false;
+    // How long the endpoint wants no requests of this daemon, if it states that with a
+    // refusal.
+    std::optional<milliseconds> retry_after;
     // The endpoint shuts down.
     bool is_leaving = false;
     // The endpoint that responded, if the response names it. It differs from the expected
--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -235,7 +235,7 @@
     double best = std::numeric_limits<double>::infinity();
     double best_limited = std::numeric_limits<double>::infinity();
     bool any_has_adapter = false;
-    bool any_has_permits = false;
+    bool any_may_serve_soon = false;
     adapter_supply supply;
     std::optional<double> busy_threshold;
     for (const auto& [id, endpoint] : fleet.endpoints)
@@ -243,16 +243,16 @@
         if (!may_serve(endpoint, query, now))
             continue;
         const permit_status permit = status_of(endpoint.limit, now);
-        any_has_permits = any_has_permits || permit != permit_status::denied;
-        if (!accepts_requests(endpoint, now))
+        const bool is_denied = permit == permit_status::denied;
+        any_may_serve_soon =
+            any_may_serve_soon || (!is_denied && now >= endpoint.refused_until);
+        const instant denied_until = std::max(
+            is_denied ? endpoint.limit.denied_until : instant{}, endpoint.refused_until);
+        if (denied_until > now || is_denied)
+            decision.denied_until =
+                std::min(decision.denied_until.value_or(denied_until), denied_until);
+        if (!accepts_requests(endpoint, now) || is_denied)
             continue;
-        if (permit == permit_status::denied)
-        {
-            decision.no_permit_until =
-                std::min(decision.no_permit_until.value_or(endpoint.limit.denied_until),
-                         endpoint.limit.denied_until);
-            continue;
-        }
         const bool needs_adapter = !query.adapter.empty();
         const resident_adapter* resident =
             needs_adapter ? find_adapter(fleet, endpoint, query.adapter) : nullptr;
@@ -276,8 +276,8 @@
     }
     if (decision.endpoint)
         decision.needs_permit.reset();
-    if (any_has_permits)
-        decision.no_permit_until.reset();
+    if (any_may_serve_soon)
+        decision.denied_until.reset();
     decision.needs_load = !query.adapter.empty() && !any_has_adapter;
     decision.needs_replica = needs_replica(supply, query.request_hash);
     return decision;
--- a/policy/fleet/endpoint_selection.hpp
+++ b/policy/fleet/endpoint_selection.hpp
@@ -39,8 +39,8 @@
     // permit giver must be asked first.
     std::optional<endpoint_id> needs_permit;
     // Set if no endpoint of the service can take a request before this time, because all
-    // have request limits and no permits are left.
-    std::optional<instant> no_permit_until;
+    // have request limits and no permits are left, or have asked this daemon to wait.
+    std::optional<instant> denied_until;
 };
 
 // Selects the endpoint for a request: of those that have the required model or adapter,
--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -92,7 +92,8 @@
 
 bool accepts_requests(const endpoint_view& endpoint, instant now)
 {
-    return !endpoint.draining && !is_gone(endpoint, now) && now >= endpoint.backoff_until;
+    return !endpoint.draining && !is_gone(endpoint, now) &&
+           now >= endpoint.backoff_until && now >= endpoint.refused_until;
 }
 
 void record_first_byte(endpoint_view& endpoint, milliseconds elapsed, instant now)
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -137,6 +137,8 @@
     // The limit on requests from all daemons together.
     limit_view limit;
     brittle_view brittle;
+    // The endpoint has asked this daemon to send it nothing before this time.
+    instant refused_until{};
     // No requests are sent before this time, because the endpoint was full or could not
     // be reached.
     instant backoff_until{};
--- a/servers/gateway/engine_controller.cpp
+++ b/servers/gateway/engine_controller.cpp
@@ -133,6 +133,8 @@
     if (service == context_.routing->services.end() || !service->second.engine ||
         view->second.draining)
         return;
+    if (context_.loop.now() < view->second.refused_until)
+        return;
     held_engine& engine = found->second;
     engine.state.slot_count = slots_that_fit(*service->second.engine);
     if (!service->second.engine->models.empty())
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -141,6 +141,7 @@
         view.inventory_received = false;
         remove_limit(view.limit);
         view.brittle = {};
+        view.refused_until = {};
         apply_entry_adapters(view, record, now);
     }
     else if (!view.inventory_received)
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -88,11 +88,11 @@
         return send_to_endpoint(exchange, *decision.endpoint);
     if (decision.needs_permit)
         permits_.request(*decision.needs_permit);
-    if (decision.no_permit_until && *decision.no_permit_until > exchange.wait_deadline)
+    if (decision.denied_until && *decision.denied_until > exchange.wait_deadline)
         return refuse_or_fail(exchange, "request_limit",
                               "all endpoints of the service have reached the limits that "
-                              "they state",
-                              *decision.no_permit_until);
+                              "they state, or have asked to wait",
+                              *decision.denied_until);
     if (decision.needs_load && exchange.load_engine &&
         now + expected_load_time(context_.fleet, *exchange.load_engine) >
             exchange.wait_deadline)
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -500,6 +500,9 @@
             view.backoff_until = now + capacity_backoff;
         if (status == status_unavailable)
             brittle_.on_rejected(view);
+        if (status == status_unavailable && exchange.response.retry_after)
+            view.refused_until =
+                std::max(view.refused_until, now + *exchange.response.retry_after);
     }
     drop_upstream(exchange);
     wait_for_endpoint(exchange);
--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -235,6 +235,25 @@
     BOOST_TEST(test.first.closed_by_daemon == 1);
 }
 
+// Guards against requests at an endpoint that has asked this daemon to wait (BUDGET), and
+// against keeping callers waiting who can't be served in time.
+BOOST_AUTO_TEST_CASE(an_endpoint_that_refuses_with_a_delay_gets_nothing_until_then)
+{
+    flow_fixture test;
+    test.add_endpoint("i-1", "plain", test.first);
+    test.first.scripts = {
+        {replaced(not_executed_response, "Content-", "Retry-After: 1.2\r\nContent-")},
+        {ok_response}};
+    const instant began = boot_clock::now();
+    const std::string refused = test.send_request("/once/1");
+    BOOST_TEST(refused.starts_with("HTTP/1.1 503"));
+    BOOST_TEST((boot_clock::now() - began < milliseconds(500)));
+    BOOST_TEST(!contains(refused, "Retry-After: 0."));
+    BOOST_TEST(test.first.requests.size() == 1U);
+    test.run_until([] { return false; }, milliseconds(1200));
+    BOOST_TEST(test.send_request("/once/1").starts_with("HTTP/1.1 200"));
+}
+
 // Guards against an earlier refusal, written once more, that is taken for the answer to a
 // request which runs (REFUSED, TWICE).
 BOOST_AUTO_TEST_CASE(a_refusal_without_an_id_on_a_kept_connection_is_not_trusted)
--- a/tests/policy/request_limit_test.cpp
+++ b/tests/policy/request_limit_test.cpp
@@ -359,9 +359,9 @@
     busy.backoff_until = start + milliseconds(40);
     dispatch_query query;
     query.service = {"plain"};
-    BOOST_TEST(!choose_endpoint(fleet, query, start).no_permit_until.has_value());
+    BOOST_TEST(!choose_endpoint(fleet, query, start).denied_until.has_value());
     busy.draining = true;
-    BOOST_TEST((choose_endpoint(fleet, query, start).no_permit_until ==
+    BOOST_TEST((choose_endpoint(fleet, query, start).denied_until ==
                 limited.limit.denied_until));
 }
 
