--- a/policy/fleet/event_stream.cpp
+++ b/policy/fleet/event_stream.cpp
@@ -65,4 +65,9 @@
     return id;
 }
 
+bool is_event_stream(std::string_view content_type)
+{
+    return content_type.empty() || content_type.starts_with("text/event-stream");
+}
+
 } // namespace pollenhaven
--- a/policy/fleet/event_stream.hpp
+++ b/policy/fleet/event_stream.hpp
@@ -28,6 +28,10 @@
 // Adds the next bytes of the stream.
 void track_events(event_boundary& boundary, std::string_view bytes);
 
+// Returns true if a response with this content type, or with none, is a stream of
+// server-sent events.
+bool is_event_stream(std::string_view content_type);
+
 // Returns the id of the last of these complete events that has one; empty if none has.
 std::string find_last_event_id(std::string_view events);
 
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -25,11 +25,15 @@
 
 // An attempt fails if no byte of it could be sent within this time.
 constexpr milliseconds connect_timeout{250};
+// A stream that can't be resumed any more ends after this time without new bytes. Callers
+// give up earlier.
+constexpr milliseconds max_stream_silence{5000};
 
 // Forwards requests from callers to endpoints (request_flow_admission.cpp,
 // request_flow.cpp) and the responses back (request_flow_responses.cpp,
-// request_flow_completion.cpp). The rules are in policy/: which endpoint a request is
-// sent to, how long it may wait, and how many retries the budget allows.
+// request_flow_streams.cpp, request_flow_completion.cpp). The rules are in policy/: which
+// endpoint a request is sent to, how long it may wait, and how many retries the budget
+// allows.
 class request_flow
 {
 public:
@@ -132,6 +136,11 @@
     void on_upstream_ended(exchange_id id, stream_end end);
     // Evaluates the head of an endpoint's response. Returns false if the attempt ended.
     bool process_response_head(http_exchange& exchange);
+    // Evaluates the head of the response of an endpoint to this request. Returns false if
+    // the attempt ended.
+    bool accept_endpoint_response(http_exchange& exchange);
+    // Records what a response that isn't a refusal tells about its endpoint.
+    void record_response(http_exchange& exchange, endpoint_view& endpoint);
     // Sends no more requests to an endpoint whose response states that it shuts down.
     void record_leaving(endpoint_view& endpoint);
     // Passes the response on to the caller: streams as their bytes arrive, any other
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -25,24 +25,12 @@
 // for this request. Up to two refusals can be due to a load that took longer than
 // expected.
 constexpr int max_adapter_refusals = 3;
-// A resumable stream without new bytes for this time is resumed at another endpoint. Busy
-// engines pause for a third of a second; callers wait for two seconds or more.
-constexpr milliseconds stream_stall_timeout{1200};
-// Limits on what an endpoint can make the daemon hold for one request: a response that is
-// passed on only when it is complete, and the beginning of an event of a stream.
+// Limit on what an endpoint can make the daemon hold for one request: a response that is
+// passed on only when it is complete.
 constexpr std::size_t max_buffered_response_bytes = 8UL << 20U;
-constexpr std::size_t max_event_bytes = 1UL << 20U;
 // Interim responses, and responses to earlier requests, that are skipped before the
 // response to a request.
 constexpr int max_discarded_responses = 8;
-// A stream is paused while its caller has this much left to read, and resumed at half of
-// it. The caller's progress is checked at this interval.
-constexpr std::size_t max_unread_stream_bytes = 256UL << 10U;
-constexpr milliseconds caller_progress_interval{20};
-constexpr milliseconds stall_check_interval{200};
-// A stream that can't be resumed any more ends after this time without new bytes. Callers
-// give up earlier.
-constexpr milliseconds max_stream_silence{5000};
 // A request that may be retried is sent to another endpoint if the response to its first
 // attempt hasn't begun after this multiple of its target latency.
 constexpr int response_start_factor = 4;
@@ -52,24 +40,6 @@
     return status >= status_ok_first && status <= status_ok_last;
 }
 
-bool is_event_stream(const http_head& head)
-{
-    const std::string_view type = field_value(head, "Content-Type");
-    return type.empty() || type.starts_with("text/event-stream");
-}
-
-// Whether a stream whose framing says that it is complete may end here. Framing alone
-// isn't enough: an endpoint that is cut off may close its connection in order, or frame
-// what it has made so far.
-bool may_end_here(const http_exchange& exchange)
-{
-    if (!is_event_stream(exchange.reader->head()))
-        return true;
-    const bool has_evidence =
-        exchange.reader->has_length() || exchange.boundary.has_event;
-    return exchange.boundary.unfinished_bytes == 0 && has_evidence;
-}
-
 } // namespace
 
 bool request_flow::may_retry(const http_exchange& exchange) const
@@ -202,6 +172,12 @@
     if (exchange.is_relayed)
         return !try_another_peer(exchange);
     record_connection_made(exchange);
+    return accept_endpoint_response(exchange);
+}
+
+bool request_flow::accept_endpoint_response(http_exchange& exchange)
+{
+    const int status = exchange.reader->head().status;
     permits_.on_response(exchange.endpoint, exchange.response, exchange.sent_at,
                          exchange.permit);
     const auto responder = context_.fleet.endpoints.find(exchange.endpoint);
@@ -228,24 +204,11 @@
         on_attempt_failed(exchange, "the endpoint's answer has no signature", true);
         return false;
     }
-    const auto view = context_.fleet.endpoints.find(exchange.endpoint);
-    if (view != context_.fleet.endpoints.end())
-    {
-        const instant now = context_.loop.now();
-        const auto held = view->second.adapters.find(exchange.request.adapter);
-        if (held != view->second.adapters.end())
-        {
-            observe_adapter_load(exchange, held->second, true);
-            held->second.confirmed = true;
-        }
-        record_prefill_done(exchange, view->second);
-        if (status >= status_server_error)
-            record_failure(view->second, now);
-        else
-            record_first_byte(view->second, to_milliseconds(now - exchange.sent_at), now);
-    }
+    if (responder != context_.fleet.endpoints.end())
+        record_response(exchange, responder->second);
     const bool continues_stream =
-        is_success(status) && is_event_stream(exchange.reader->head());
+        is_success(status) &&
+        is_event_stream(field_value(exchange.reader->head(), "Content-Type"));
     if (response_has_begun(exchange) && !continues_stream)
     {
         on_attempt_failed(exchange, "the stream was not resumed", true);
@@ -261,6 +224,22 @@
     return true;
 }
 
+void request_flow::record_response(http_exchange& exchange, endpoint_view& endpoint)
+{
+    const instant now = context_.loop.now();
+    const auto held = endpoint.adapters.find(exchange.request.adapter);
+    if (held != endpoint.adapters.end())
+    {
+        observe_adapter_load(exchange, held->second, true);
+        held->second.confirmed = true;
+    }
+    record_prefill_done(exchange, endpoint);
+    if (exchange.reader->head().status >= status_server_error)
+        record_failure(endpoint, now);
+    else
+        record_first_byte(endpoint, to_milliseconds(now - exchange.sent_at), now);
+}
+
 void request_flow::record_leaving(endpoint_view& endpoint)
 {
     endpoint.draining = true;
@@ -281,147 +260,6 @@
         relay_complete_response(exchange);
 }
 
-void request_flow::on_stream_recorded(exchange_id id)
-{
-    const auto found = exchanges_.find(id.value);
-    if (found == exchanges_.end())
-        return;
-    http_exchange& exchange = found->second;
-    exchange.record_pending = false;
-    const bool has_answer = exchange.phase == exchange_phase::sent &&
-                            exchange.has_response_head && !exchange.discards_response;
-    if (has_answer && (exchange.held_end || !exchange.reader->body.empty()))
-        relay(exchange, exchange.held_end);
-}
-
-void request_flow::relay_stream(http_exchange& exchange, bool is_complete)
-{
-    if (exchange.record_pending)
-    {
-        exchange.held_end = is_complete;
-        return;
-    }
-    if (exchange.phase != exchange_phase::responding)
-        begin_stream(exchange);
-    std::string bytes = std::move(exchange.reader->body);
-    exchange.reader->body.clear();
-    const bool had_event = exchange.boundary.has_event;
-    track_events(exchange.boundary, bytes);
-    if (exchange.boundary.has_event && !had_event)
-        guard_.prompt_parts().on_answered(exchange);
-    const bool ends_well = is_complete && may_end_here(exchange);
-    if (is_complete)
-        log_stream_end(exchange);
-    const instant now = context_.loop.now();
-    if (exchange.last_chunk_at != instant{})
-        exchange.longest_pause = std::max(exchange.longest_pause,
-                                          to_milliseconds(now - exchange.last_chunk_at));
-    exchange.last_chunk_at = now;
-    if (exchange.matched_route->resumable)
-    {
-        exchange.partial_event += bytes;
-        bytes = ends_well ? std::move(exchange.partial_event)
-                          : take_complete_events(exchange.partial_event);
-        const std::string last = find_last_event_id(bytes);
-        if (!last.empty())
-            exchange.last_event_id = last;
-        if (exchange.partial_event.size() > max_event_bytes)
-            return on_attempt_failed(exchange, "an event of the stream is too long",
-                                     true);
-    }
-    callers_.send_chunk(exchange.caller, bytes);
-    if (!is_complete)
-    {
-        pause_if_caller_is_slow(exchange);
-        return schedule_stall_check(exchange);
-    }
-    if (!ends_well)
-        return on_attempt_failed(exchange, "the stream ended inside an event", true);
-    callers_.end_response(exchange.caller);
-    complete(exchange, true);
-}
-
-void request_flow::remember_stream_version(http_exchange& exchange)
-{
-    exchange.software = exchange.attempt_software;
-    records_.remember(stream_id_of(exchange), exchange.attempt_software);
-}
-
-void request_flow::begin_stream(http_exchange& exchange)
-{
-    exchange.phase = exchange_phase::responding;
-    if (is_resumable(exchange) && !exchange.is_relayed)
-        remember_stream_version(exchange);
-    log_event(exchange, "answer began", "");
-    context_.metrics.observe_seconds("pollenhaven_first_byte_seconds",
-                                     to_seconds(context_.loop.now() - exchange.arrived));
-    callers_.begin_response(
-        exchange.caller, exchange.reader->head().status,
-        context_.dialect.write_response_fields(exchange.reader->head()) +
-            (exchange.is_relayed ? "" : extra_interface_fields(exchange)),
-        exchange.reader->has_length() ? body_framing::chunked
-                                      : body_framing::connection_end);
-}
-
-void request_flow::pause_if_caller_is_slow(http_exchange& exchange)
-{
-    if (exchange.is_paused ||
-        context_.loop.pending_output(exchange.caller) <= max_unread_stream_bytes)
-        return;
-    exchange.is_paused = true;
-    context_.loop.pause_reading(exchange.upstream);
-    const exchange_id id = exchange.id;
-    context_.loop.schedule_after(caller_progress_interval,
-                                 [this, id] { resume_if_caller_caught_up(id); });
-}
-
-void request_flow::resume_if_caller_caught_up(exchange_id id)
-{
-    const auto found = exchanges_.find(id.value);
-    if (found == exchanges_.end() || !found->second.is_paused)
-        return;
-    http_exchange& exchange = found->second;
-    if (context_.loop.pending_output(exchange.caller) > max_unread_stream_bytes / 2)
-    {
-        context_.loop.schedule_after(caller_progress_interval,
-                                     [this, id] { resume_if_caller_caught_up(id); });
-        return;
-    }
-    exchange.is_paused = false;
-    exchange.last_chunk_at = context_.loop.now();
-    context_.loop.resume_reading(exchange.upstream);
-}
-
-void request_flow::schedule_stall_check(http_exchange& exchange)
-{
-    if (!exchange.matched_route->resumable || exchange.timer.value != 0)
-        return;
-    const exchange_id id = exchange.id;
-    const instant due = exchange.last_chunk_at + stream_stall_timeout;
-    const instant next_check = context_.loop.now() + stall_check_interval;
-    exchange.timer = context_.loop.schedule(std::max(due, next_check),
-                                            [this, id] { check_stall(id); });
-}
-
-void request_flow::check_stall(exchange_id id)
-{
-    http_exchange& exchange = exchanges_.at(id.value);
-    exchange.timer = {};
-    // While the caller is behind, the endpoint has to wait.
-    if (exchange.is_paused)
-        exchange.last_chunk_at = context_.loop.now();
-    const auto silence = context_.loop.now() - exchange.last_chunk_at;
-    // A peer that relays the stream resumes it.
-    const bool can_resume =
-        !exchange.is_relayed && may_retry(exchange) &&
-        exchange.possible_runs + 1 < exchange.matched_route->max_attempts;
-    const milliseconds limit = can_resume ? stream_stall_timeout : max_stream_silence;
-    if (silence < limit)
-        return schedule_stall_check(exchange);
-    pool_.remove_endpoint(exchange.endpoint);
-    on_attempt_failed(exchange, "the stream went silent", true);
-}
-
 void request_flow::relay_complete_response(http_exchange& exchange)
 {
     if (exchange.phase == exchange_phase::responding)
