Keep base versions and records of streams in files of their own

No change of behaviour: the store's entry of a service's base version is watched by all daemons and written by one, records are written by each and read on demand. Contract tests and stream_version_test pass.

--- /dev/null
+++ b/servers/gateway/base_versions.cpp
@@ -0,0 +1,97 @@
+#include "servers/gateway/base_versions.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace pollenhaven
+{
+
+namespace
+{
+
+constexpr milliseconds call_timeout{900};
+constexpr milliseconds check_interval{500};
+
+} // namespace
+
+std::optional<software_version> decode_software_version(const std::string& value)
+{
+    const nlohmann::json entry = nlohmann::json::parse(value, nullptr, false);
+    if (!entry.is_object() || !entry.contains("version") || !entry["version"].is_string())
+        return std::nullopt;
+    return software_version{entry["version"].get<std::string>()};
+}
+
+base_versions::base_versions(gateway_context& context, loaded_check is_loaded)
+    : context_(context), is_loaded_(std::move(is_loaded)), client_(context)
+{
+}
+
+void base_versions::on_item(const store_item& item)
+{
+    const service_id service{item.key.substr(std::string(base_version_prefix).size())};
+    const auto known = context_.fleet.base_versions.find(service);
+    if (item.deleted)
+    {
+        // A restored store may have lost the entry; the version stays what it was.
+        if (known != context_.fleet.base_versions.end())
+            known->second.revision = {};
+        return;
+    }
+    const std::optional<software_version> version = decode_software_version(item.value);
+    if (!version)
+        return context_.log.write("base version malformed", {{"key", item.key}});
+    base_version& entry = context_.fleet.base_versions[service];
+    const bool is_new = entry.revision.value == 0 && !entry.changed_at;
+    if (!is_new && entry.version != *version)
+        entry.changed_at = context_.loop.now();
+    entry.version = *version;
+    entry.revision = item.revision;
+    context_.log.write("base version",
+                       {{"service", service.value}, {"software", version->value}});
+}
+
+void base_versions::run_periodic_work()
+{
+    const instant now = context_.loop.now();
+    if (!is_loaded_() || !is_first_member(context_.fleet) || context_.leaving ||
+        context_.routing == nullptr || now - last_check_ < check_interval)
+        return;
+    last_check_ = now;
+    for (const auto& [service, details] : context_.routing->services)
+    {
+        if (!details.engine)
+            continue;
+        const auto base = context_.fleet.base_versions.find(service);
+        const bool is_absent = base != context_.fleet.base_versions.end() &&
+                               !registered_versions(context_.fleet, service, now)
+                                    .contains(base->second.version);
+        if (!is_absent)
+            absent_since_.erase(service);
+        std::optional<instant> absent_since;
+        if (is_absent)
+            absent_since = absent_since_.try_emplace(service, now).first->second;
+        const std::optional<software_version> next =
+            next_base_version(context_.fleet, service, absent_since, now);
+        if (next)
+            write(service, *next);
+    }
+}
+
+void base_versions::write(const service_id& service, const software_version& version)
+{
+    const std::string key = base_version_prefix + service.value;
+    const auto known = context_.fleet.base_versions.find(service);
+    store_transaction transaction;
+    transaction.expected.push_back({key, known == context_.fleet.base_versions.end()
+                                             ? store_revision{}
+                                             : known->second.revision});
+    transaction.writes.push_back(
+        {key, nlohmann::json{{"version", version.value}}.dump(), 0});
+    // The watch shows the result, also if the response is lost.
+    client_.call(context_.dialect.transaction_call(transaction), call_timeout,
+                 [](const http_result&) {});
+}
+
+} // namespace pollenhaven
--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -1,6 +1,6 @@
 #include "servers/gateway/fleet_membership.hpp"
 
-#include "servers/gateway/stream_records.hpp"
+#include "servers/gateway/base_versions.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "core/plugin_registry.hpp"
 #include "core/random_id.hpp"
+#include "servers/gateway/base_versions.hpp"
 #include "servers/gateway/brittle_endpoints.hpp"
 #include "servers/gateway/connection_pool.hpp"
 #include "servers/gateway/crash_guard.hpp"
@@ -123,6 +124,7 @@
     crash_guard guard_;
     idempotency_claims claims_;
     request_permits permits_;
+    base_versions base_versions_;
     stream_records records_;
     brittle_endpoints brittle_;
     link_monitor links_;
@@ -165,6 +167,7 @@
           [this](const daemon_id& member, const fleet_message& message)
           { send_to_member(member, message); },
           [this](const fleet_message& message) { broadcast(message); }),
+      base_versions_(context_, [this] { return membership_.watch().is_loaded(); }),
       records_(context_, [this] { return membership_.watch().is_loaded(); }),
       brittle_(context_, [this](const fleet_message& message) { broadcast(message); }),
       links_(context_, pool_,
@@ -221,7 +224,7 @@
         });
     permits_.on_available([this] { dispatch_waiting(); });
     membership_.on_base_version([this](const store_item& item)
-                                { records_.on_base_version(item); });
+                                { base_versions_.on_item(item); });
     context_.incarnation = {random_hex(incarnation_bytes)};
     engine_controller_.attach(membership_);
 }
@@ -496,6 +499,7 @@
     watcher_.remove_gone_endpoints();
     guard_.run_periodic_work();
     claims_.remove_expired_claims();
+    base_versions_.run_periodic_work();
     records_.run_periodic_work();
     links_.check_silence(flow_.waits_for_endpoints());
     store_sync_.run_periodic_work();
--- a/servers/gateway/stream_records.cpp
+++ b/servers/gateway/stream_records.cpp
@@ -1,6 +1,7 @@
 #include "servers/gateway/stream_records.hpp"
 
 #include "policy/crash_history.hpp"
+#include "servers/gateway/base_versions.hpp"
 
 #include <nlohmann/json.hpp>
 
@@ -30,7 +31,6 @@
 constexpr std::size_t max_batch_entries = 32;
 // Removals that are due are written in full batches, or when the next record is.
 constexpr std::size_t removals_per_write = 30;
-constexpr milliseconds base_check_interval{500};
 constexpr milliseconds listing_interval{60'000};
 
 // Ids come from callers and may contain any characters; keys have a fixed length.
@@ -44,14 +44,6 @@
     return nlohmann::json{{"stream", stream.value}, {"version", version.value}}.dump();
 }
 
-std::optional<software_version> decode_version(const std::string& value)
-{
-    const nlohmann::json entry = nlohmann::json::parse(value, nullptr, false);
-    if (!entry.is_object() || !entry.contains("version") || !entry["version"].is_string())
-        return std::nullopt;
-    return software_version{entry["version"].get<std::string>()};
-}
-
 const char* to_text(origin_source source)
 {
     switch (source)
@@ -220,7 +212,7 @@
                 for (const store_item& item : page.items)
                 {
                     const std::optional<software_version> version =
-                        decode_version(item.value);
+                        decode_software_version(item.value);
                     if (item.key == key && version)
                         return finish_search(stream, service, record_lookup::found,
                                              *version, done);
@@ -258,80 +250,12 @@
     done(origin);
 }
 
-void stream_records::on_base_version(const store_item& item)
-{
-    const service_id service{item.key.substr(std::string(base_version_prefix).size())};
-    const auto known = context_.fleet.base_versions.find(service);
-    if (item.deleted)
-    {
-        // A restored store may have lost the entry; the version stays what it was.
-        if (known != context_.fleet.base_versions.end())
-            known->second.revision = {};
-        return;
-    }
-    const std::optional<software_version> version = decode_version(item.value);
-    if (!version)
-        return context_.log.write("base version malformed", {{"key", item.key}});
-    base_version& entry = context_.fleet.base_versions[service];
-    const bool is_new = entry.revision.value == 0 && !entry.changed_at;
-    if (!is_new && entry.version != *version)
-        entry.changed_at = context_.loop.now();
-    entry.version = *version;
-    entry.revision = item.revision;
-    context_.log.write("base version",
-                       {{"service", service.value}, {"software", version->value}});
-}
-
 void stream_records::run_periodic_work()
 {
     handle_new_era();
     forget_ended_streams();
-    if (!is_loaded_() || !is_first_member(context_.fleet) || context_.leaving)
-        return;
-    update_base_versions();
-    remove_abandoned_records();
-}
-
-void stream_records::update_base_versions()
-{
-    const instant now = context_.loop.now();
-    if (context_.routing == nullptr || now - last_base_check_ < base_check_interval)
-        return;
-    last_base_check_ = now;
-    for (const auto& [service, details] : context_.routing->services)
-    {
-        if (!details.engine)
-            continue;
-        const auto base = context_.fleet.base_versions.find(service);
-        const bool is_absent = base != context_.fleet.base_versions.end() &&
-                               !registered_versions(context_.fleet, service, now)
-                                    .contains(base->second.version);
-        if (!is_absent)
-            base_absent_since_.erase(service);
-        std::optional<instant> absent_since;
-        if (is_absent)
-            absent_since = base_absent_since_.try_emplace(service, now).first->second;
-        const std::optional<software_version> next =
-            next_base_version(context_.fleet, service, absent_since, now);
-        if (next)
-            write_base_version(service, *next);
-    }
-}
-
-void stream_records::write_base_version(const service_id& service,
-                                        const software_version& version)
-{
-    const std::string key = base_version_prefix + service.value;
-    const auto known = context_.fleet.base_versions.find(service);
-    store_transaction transaction;
-    transaction.expected.push_back({key, known == context_.fleet.base_versions.end()
-                                             ? store_revision{}
-                                             : known->second.revision});
-    transaction.writes.push_back(
-        {key, nlohmann::json{{"version", version.value}}.dump(), 0});
-    // The watch shows the result, also if the response is lost.
-    reader_.call(context_.dialect.transaction_call(transaction), call_timeout,
-                 [](const http_result&) {});
+    if (is_loaded_() && is_first_member(context_.fleet) && !context_.leaving)
+        remove_abandoned_records();
 }
 
 void stream_records::handle_new_era()
--- a/servers/gateway/stream_records.hpp
+++ b/servers/gateway/stream_records.hpp
@@ -15,12 +15,8 @@
 namespace pollenhaven
 {
 
-// The store's entries with the base versions of the services, below the prefix of all
-// entries that the members watch.
-inline constexpr const char* base_version_prefix = "pollenhaven/versions/";
-
 // Knows which software version began a stream, also after all daemons have restarted: it
-// keeps the records and base versions of policy/fleet/stream_origin.hpp in the store.
+// keeps the records of policy/fleet/stream_origin.hpp in the store.
 class stream_records
 {
 public:
@@ -42,10 +38,7 @@
     // result, at once if this daemon knows it.
     void find(const request_id& stream, const service_id& service, origin_handler done);
 
-    // Applies a change of the entry of a service's base version.
-    void on_base_version(const store_item& item);
-    // Updates base versions, and removes records of streams that have ended. Must be
-    // called periodically.
+    // Removes records of streams that have ended. Must be called periodically.
     void run_periodic_work();
 
 private:
@@ -80,8 +73,6 @@
                        record_lookup lookup, const software_version& recorded,
                        const origin_handler& done);
     bool is_conclusive() const;
-    void update_base_versions();
-    void write_base_version(const service_id& service, const software_version& version);
     // Writes the records again that a restored store may have lost.
     void handle_new_era();
     void forget_ended_streams();
@@ -101,9 +92,6 @@
     std::map<request_id, known_stream> known_;
     // Keys of own records, in the order of their writing, and of those to be removed.
     std::deque<std::string> removals_;
-    // Since when no endpoint has run a service's base version.
-    std::map<service_id, instant> base_absent_since_;
-    instant last_base_check_{};
     store_era handled_era_;
     // The records of any daemon that the last listings contained, and when first.
     std::map<std::string, instant> seen_records_;
