--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -173,8 +173,8 @@
                                {{"code", reason.code},
                                 {"message", reason.message},
                                 {"verdict", verdict_name}}}};
-    std::string header_lines =
-        fields + "Content-Type: application/json\r\nX-Verdict: " + verdict_name + "\r\n";
+    std::string header_lines = fields + "Content-Type: application/json\r\n" +
+                               verdict_field + ": " + verdict_name + "\r\n";
     if (reason.retry_after)
         header_lines += "Retry-After: " + seconds_text(*reason.retry_after) + "\r\n";
     send_response(caller, reason.http_status, header_lines,
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -24,6 +24,9 @@
     connection_end
 };
 
+// The field of an error response of a daemon that says whether the request may have run.
+inline constexpr const char* verdict_field = "X-Verdict";
+
 // An HTTP/1.1 server on the event loop, for callers and for operators. Reads complete
 // requests, one at a time on each connection, and writes their responses. The functions
 // that write a response do nothing if the caller has disconnected.
--- a/servers/gateway/request_flow_relay.cpp
+++ b/servers/gateway/request_flow_relay.cpp
@@ -9,6 +9,9 @@
 namespace
 {
 
+constexpr int status_bad_gateway = 502;
+constexpr int status_unavailable = 503;
+
 // The name under which connections to a peer are pooled; endpoints have no such ids.
 endpoint_id relay_name(const daemon_id& peer)
 {
@@ -61,7 +64,6 @@
 void request_flow::on_relay_failed(http_exchange& exchange, const std::string& reason,
                                    bool may_have_run)
 {
-    constexpr int status_bad_gateway = 502;
     log_event(exchange, "attempt failed", reason);
     drop_upstream(exchange);
     exchange.partial_event.clear();
@@ -105,12 +107,11 @@
 
 bool request_flow::try_another_peer(http_exchange& exchange)
 {
-    constexpr int status_unavailable = 503;
     constexpr std::size_t max_relays = 2;
     const http_head& head = exchange.reader->head();
     const bool has_not_run =
         head.status == status_unavailable && !exchange.response.has_signature &&
-        field_value(head, "X-Verdict") == to_string(verdict::not_run);
+        field_value(head, verdict_field) == to_string(verdict::not_run);
     if (!has_not_run || exchange.failed_relays.size() >= max_relays ||
         !choose_relay(context_.fleet, request_hash(exchange), exchange.failed_relays,
                       context_.loop.now()))
@@ -121,8 +122,8 @@
 
 void request_flow::settle_relayed_claim(http_exchange& exchange)
 {
-    const bool has_not_run =
-        field_value(exchange.reader->head(), "X-Verdict") == to_string(verdict::not_run);
+    const bool has_not_run = field_value(exchange.reader->head(), verdict_field) ==
+                             to_string(verdict::not_run);
     if (has_not_run)
         claims_.release(exchange.claim, exchange.claim_revision);
     exchange.claim_revision = {};
