--- a/servers/gateway/base_versions.cpp
+++ b/servers/gateway/base_versions.cpp
@@ -10,6 +10,7 @@
 namespace
 {
 
+constexpr int status_ok = 200;
 constexpr milliseconds call_timeout{900};
 constexpr milliseconds check_interval{500};
 
@@ -91,7 +92,13 @@
         {key, nlohmann::json{{"version", version.value}}.dump(), 0});
     // The watch shows the result, also if the response is lost.
     client_.call(context_.dialect.transaction_call(transaction), call_timeout,
-                 [](const http_result&) {});
+                 [this, service](const http_result& result)
+                 {
+                     if (!result.has_response || result.status != status_ok)
+                         context_.log.write("base version not written",
+                                            {{"service", service.value},
+                                             {"status", std::int64_t{result.status}}});
+                 });
 }
 
 } // namespace pollenhaven
--- a/servers/gateway/block_records.cpp
+++ b/servers/gateway/block_records.cpp
@@ -13,6 +13,7 @@
 namespace
 {
 
+constexpr int status_ok = 200;
 constexpr milliseconds call_timeout{900};
 // The store's limit on the entries of one transaction. A change takes two of them.
 constexpr std::size_t max_transaction_entries = 32;
@@ -87,7 +88,13 @@
     write_in_progress_ = true;
     // The watch shows the result, also if the response is lost.
     client_.call(context_.dialect.transaction_call(transaction), call_timeout,
-                 [this](const http_result&) { write_in_progress_ = false; });
+                 [this](const http_result& result)
+                 {
+                     write_in_progress_ = false;
+                     if (!result.has_response || result.status != status_ok)
+                         context_.log.write("block records not written",
+                                            {{"status", std::int64_t{result.status}}});
+                 });
 }
 
 void block_records::add_change(store_transaction& transaction,
