--- a/tests/process/brittle_test.cpp
+++ b/tests/process/brittle_test.cpp
@@ -48,7 +48,7 @@
     std::atomic<bool> stop{false};
     std::atomic<int> served{0};
     std::vector<std::thread> callers;
-    callers.reserve(static_cast<std::size_t>(options.daemons * callers_per_daemon));
+    callers.reserve(static_cast<std::size_t>(options.daemons) * callers_per_daemon);
     for (int caller = 0; caller < options.daemons * callers_per_daemon; ++caller)
         callers.emplace_back(
             [&, caller]
