--- a/policy/fleet/endpoint_links.cpp
+++ b/policy/fleet/endpoint_links.cpp
@@ -14,6 +14,8 @@
 constexpr std::size_t failures_of_a_cut = 3;
 // Failures that are further apart than this have different causes.
 constexpr milliseconds failure_window{5000};
+// Probes decide earlier than this, unless there is nothing to probe.
+constexpr milliseconds max_decision_time{1500};
 // Endpoints that are under load send something to a daemon much more often.
 constexpr milliseconds suspicious_silence{500};
 
@@ -39,6 +41,12 @@
     return links.cut_off_since && now - *links.cut_off_since >= cut_confirmation_time;
 }
 
+bool is_cut_undecided(const endpoint_links& links, instant now)
+{
+    return !links.failed.empty() && !is_cut_off_confirmed(links, now) &&
+           now - links.first_failure_at < max_decision_time;
+}
+
 bool is_silence_suspicious(const endpoint_links& links, bool waits_for_endpoints,
                            instant now)
 {
@@ -64,7 +72,9 @@
     links.failed.insert(endpoint);
     const std::size_t required = std::min(
         failures_of_a_cut, std::max<std::size_t>(1, usable_endpoints(fleet, now).size()));
-    if (is_cut_off(links) || links.failed.size() < required)
+    // Endpoints that crash together fail at once; then a probe finds another one.
+    if (is_cut_off(links) || links.failed.size() < required ||
+        now - links.first_failure_at < min_cut_duration)
         return false;
     links.cut_off_since = now;
     return true;
--- a/policy/fleet/endpoint_links.hpp
+++ b/policy/fleet/endpoint_links.hpp
@@ -10,8 +10,9 @@
 namespace pollenhaven
 {
 
-// What this daemon knows of its links to the endpoints. If connections to several
-// endpoints fail and none is established in between, the daemon counts as cut off from
+// What this daemon knows of its links to the endpoints. After a failed connection it
+// probes other endpoints. If connections to several endpoints fail over a whole
+// round of probes and none is established in between, the daemon counts as cut off from
 // all of them, and has its peers serve its callers. A daemon that is wrong about it
 // learns so from the next connection.
 struct endpoint_links
@@ -24,6 +25,15 @@
     instant last_heard_at{};
 };
 
+// A round of probes begins at this interval while connections fail. A probe fails if it
+// isn't connected within the timeout.
+inline constexpr milliseconds link_probe_interval{300};
+inline constexpr milliseconds link_probe_timeout{250};
+
+// Connections that fail for this long have failed during a whole round of probes, even if
+// the first one failed just after a round had begun.
+inline constexpr milliseconds min_cut_duration = link_probe_interval + link_probe_timeout;
+
 bool is_cut_off(const endpoint_links& links);
 
 // A cut counts as confirmed after this time, which is longer than one round of probes.
@@ -32,6 +42,10 @@
 // Returns true if the daemon has been cut off for so long that probes have confirmed it.
 bool is_cut_off_confirmed(const endpoint_links& links, instant now);
 
+// Returns true while connections have failed and probes haven't shown yet whether the
+// endpoints or this daemon's links are the cause.
+bool is_cut_undecided(const endpoint_links& links, instant now);
+
 // Returns true if it should be found out by probes whether the daemon is cut off: it
 // waits for endpoints, and none has sent anything for some time.
 bool is_silence_suspicious(const endpoint_links& links, bool waits_for_endpoints,
--- a/servers/gateway/crash_guard.cpp
+++ b/servers/gateway/crash_guard.cpp
@@ -120,33 +120,39 @@
 
 void crash_guard::on_endpoint_lost(const endpoint_id& endpoint)
 {
-    if (!detector_.cut_off.contains(endpoint))
+    if (detector_.cut_off.contains(endpoint))
+        context_.loop.schedule_after(crash_settle_time,
+                                     [this, endpoint] { settle_loss(endpoint); });
+}
+
+void crash_guard::settle_loss(const endpoint_id& endpoint)
+{
+    const instant now = context_.loop.now();
+    if (is_cut_undecided(context_.links, now))
+    {
+        context_.loop.schedule_after(crash_settle_time,
+                                     [this, endpoint] { settle_loss(endpoint); });
+        return;
+    }
+    // Connections that fail because of this daemon's links tell nothing about the
+    // endpoint.
+    if (is_cut_off(context_.links))
+    {
+        detector_.cut_off.erase(endpoint);
+        return;
+    }
+    const positioned_parts parts = unanswered_parts(detector_, endpoint, now);
+    const std::map<std::string, int> changed =
+        record_endpoint_lost(detector_, endpoint, now);
+    if (changed.empty())
         return;
-    context_.loop.schedule_after(
-        crash_settle_time,
-        [this, endpoint]
-        {
-            // Connections that fail because of this daemon's links tell nothing about the
-            // endpoint.
-            if (is_cut_off(context_.links))
-            {
-                detector_.cut_off.erase(endpoint);
-                return;
-            }
-            const positioned_parts parts =
-                unanswered_parts(detector_, endpoint, context_.loop.now());
-            const std::map<std::string, int> changed =
-                record_endpoint_lost(detector_, endpoint, context_.loop.now());
-            if (changed.empty())
-                return;
-            context_.log.write("endpoint crashed",
-                               {{"endpoint", endpoint.value},
-                                {"suspects", static_cast<std::int64_t>(
-                                                 detector_.history.suspects.size())}});
-            for (const auto& [fingerprint, crashes] : changed)
-                announce(fingerprint, crashes);
-            prompt_parts_.on_crash(endpoint, parts);
-        });
+    context_.log.write(
+        "endpoint crashed",
+        {{"endpoint", endpoint.value},
+         {"suspects", static_cast<std::int64_t>(detector_.history.suspects.size())}});
+    for (const auto& [fingerprint, crashes] : changed)
+        announce(fingerprint, crashes);
+    prompt_parts_.on_crash(endpoint, parts);
 }
 
 void crash_guard::merge_suspects(const suspects_message& message)
--- a/servers/gateway/crash_guard.hpp
+++ b/servers/gateway/crash_guard.hpp
@@ -55,6 +55,9 @@
 private:
     // Returns the fingerprint of the request's content, and computes it at the first use.
     const std::string& fingerprint_of(http_exchange& exchange) const;
+    // Records the loss of the endpoint as a crash, once it is known that this daemon's
+    // links aren't the cause.
+    void settle_loss(const endpoint_id& endpoint);
     // Connects to the endpoint to find out whether it still listens.
     void probe(const endpoint_id& endpoint);
     // Sends a changed crash count to all peers, several times. Changes that follow each
--- a/servers/gateway/link_monitor.cpp
+++ b/servers/gateway/link_monitor.cpp
@@ -6,8 +6,7 @@
 namespace
 {
 
-constexpr milliseconds probe_interval{300};
-constexpr milliseconds probe_timeout{250};
+constexpr milliseconds probe_check_interval{20};
 constexpr std::size_t probes_per_round = 3;
 
 } // namespace
@@ -72,11 +71,11 @@
          endpoints_to_probe(context_.links, context_.fleet, probes_per_round, ++rounds_,
                             context_.loop.now()))
         probe(endpoint);
-    context_.loop.schedule_after(probe_interval,
+    context_.loop.schedule_after(link_probe_interval,
                                  [this]
                                  {
                                      is_probing_ = false;
-                                     if (is_cut_off(context_.links))
+                                     if (!context_.links.failed.empty())
                                          probe_endpoints();
                                  });
 }
@@ -88,19 +87,27 @@
     handlers.ended = [this, endpoint](stream_id, stream_end)
     { on_connect_failed(endpoint, connect_failure::refused); };
     const stream_id stream = context_.loop.connect(address, std::move(handlers));
-    context_.loop.schedule_after(
-        probe_timeout,
-        [this, endpoint, stream]
-        {
-            if (!context_.loop.is_open(stream))
-                return;
-            const bool is_connected = context_.loop.is_connected(stream);
-            context_.loop.close(stream);
-            if (is_connected)
-                on_connected();
-            else
-                on_connect_failed(endpoint, connect_failure::timed_out);
-        });
+    check_probe(endpoint, stream, context_.loop.now() + link_probe_timeout);
+}
+
+void link_monitor::check_probe(const endpoint_id& endpoint, stream_id stream,
+                               instant deadline)
+{
+    if (!context_.loop.is_open(stream))
+        return;
+    const bool is_connected = context_.loop.is_connected(stream);
+    if (!is_connected && context_.loop.now() < deadline)
+    {
+        context_.loop.schedule_after(probe_check_interval,
+                                     [this, endpoint, stream, deadline]
+                                     { check_probe(endpoint, stream, deadline); });
+        return;
+    }
+    context_.loop.close(stream);
+    if (is_connected)
+        on_connected();
+    else
+        on_connect_failed(endpoint, connect_failure::timed_out);
 }
 
 } // namespace pollenhaven
--- a/servers/gateway/link_monitor.hpp
+++ b/servers/gateway/link_monitor.hpp
@@ -34,9 +34,12 @@
     void check_silence(bool waits_for_endpoints);
 
 private:
-    // Probes a few endpoints, and goes on while this daemon is cut off.
+    // Probes a few endpoints, and goes on until one is reached.
     void probe_endpoints();
     void probe(const endpoint_id& endpoint);
+    // Evaluates a probe that has been connected or has timed out, and looks again later
+    // otherwise.
+    void check_probe(const endpoint_id& endpoint, stream_id stream, instant deadline);
     void schedule_change();
 
     gateway_context& context_;
--- a/tests/process/crash_containment_test.cpp
+++ b/tests/process/crash_containment_test.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <fstream>
+#include <string>
 #include <thread>
 
 using namespace pollenhaven::harness;
@@ -80,6 +82,20 @@
     std::this_thread::sleep_for(stability_time);
 }
 
+// The number of times that the daemons took themselves to be cut off from all endpoints.
+int count_cuts(const fleet& deployment)
+{
+    int cuts = 0;
+    for (int daemon = 0; daemon < deployment.daemon_count(); ++daemon)
+    {
+        std::ifstream log(deployment.log_path(daemon));
+        for (std::string line; std::getline(log, line);)
+            if (line.find("\"event\":\"cut off from endpoints\"") != std::string::npos)
+                ++cuts;
+    }
+    return cuts;
+}
+
 } // namespace
 
 // Guards against engines that crash one after the other (BUDGET), and against sound
@@ -142,3 +158,35 @@
     BOOST_TEST(count_crashes(deployment, options.engines) - crashes <=
                max_later_arrivals);
 }
+
+// Guards against a daemon that takes engines which crash together for a cut of its own
+// links, relays its callers' requests and discards the evidence of the crashes.
+BOOST_AUTO_TEST_CASE(engines_that_crash_together_are_not_taken_for_a_cut)
+{
+    fleet_options options;
+    options.engines = 6;
+    fleet deployment(options);
+    for (int engine = 0; engine < options.engines; ++engine)
+        control_standin(deployment.engine_address(engine), {{"crash_part", "bad"}});
+    constexpr int callers_per_daemon = 4;
+    constexpr int requests_per_caller = 6;
+    std::vector<std::thread> callers;
+    for (int caller = 0; caller < callers_per_daemon * deployment.daemon_count();
+         ++caller)
+        callers.emplace_back(
+            [&, caller]
+            {
+                for (int turn = 0; turn < requests_per_caller; ++turn)
+                {
+                    const std::string id =
+                        std::to_string(caller) + "-" + std::to_string(turn);
+                    deployment.send_platform_chat(caller % deployment.daemon_count(), id,
+                                                  "a" + std::to_string(1 + caller % 3),
+                                                  "shared:90,bad:30,own:20");
+                }
+            });
+    for (std::thread& caller : callers)
+        caller.join();
+    BOOST_TEST(count_crashes(deployment, options.engines) > 0);
+    BOOST_TEST(count_cuts(deployment) == 0);
+}
