--- a/tests/process/crash_containment_test.cpp
+++ b/tests/process/crash_containment_test.cpp
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <string>
 #include <thread>
+#include <vector>
 
 using namespace pollenhaven::harness;
 using std::chrono::milliseconds;
@@ -22,6 +23,22 @@
 constexpr int crashes_before_stability = 5;
 constexpr int max_later_arrivals = 3;
 
+constexpr int engines = 6;
+
+fleet_options six_engines()
+{
+    fleet_options options;
+    options.engines = engines;
+    return options;
+}
+
+// Lets each engine crash when it begins to answer a request with the crashing part.
+void have_engines_crash(const fleet& deployment)
+{
+    for (int engine = 0; engine < engines; ++engine)
+        control_standin(deployment.engine_address(engine), {{"crash_part", "bad"}});
+}
+
 // Sends requests with one part that crashes engines, and others with the parts beside it.
 // No two requests are alike.
 class part_traffic
@@ -48,7 +65,7 @@
 };
 
 // Waits until all engines answer, since those that crashed take a moment to restart.
-int count_crashes(const fleet& deployment, int engines)
+int count_crashes(const fleet& deployment)
 {
     int crashes = 0;
     for (int engine = 0; engine < engines; ++engine)
@@ -68,12 +85,11 @@
 
 // Sends requests with the crashing part, and sound ones beside them, until engines have
 // crashed so often that the part must be blocked.
-void have_part_blocked(const fleet& deployment, part_traffic& traffic, int engines)
+void have_part_blocked(const fleet& deployment, part_traffic& traffic)
 {
     constexpr int max_requests = 30;
-    for (int i = 0; i < max_requests &&
-                    count_crashes(deployment, engines) < crashes_before_stability;
-         ++i)
+    for (int i = 0;
+         i < max_requests && count_crashes(deployment) < crashes_before_stability; ++i)
     {
         traffic.send_crashing(i % 3);
         traffic.send_sound((i + 1) % 3);
@@ -102,14 +118,11 @@
 // requests that are kept from engines together with those that crash them (LOST).
 BOOST_AUTO_TEST_CASE(a_prompt_part_that_crashes_engines_is_blocked_and_no_other_part_is)
 {
-    fleet_options options;
-    options.engines = 6;
-    fleet deployment(options);
-    for (int engine = 0; engine < options.engines; ++engine)
-        control_standin(deployment.engine_address(engine), {{"crash_part", "bad"}});
+    fleet deployment(six_engines());
+    have_engines_crash(deployment);
     part_traffic traffic(deployment);
-    have_part_blocked(deployment, traffic, options.engines);
-    const int crashes = count_crashes(deployment, options.engines);
+    have_part_blocked(deployment, traffic);
+    const int crashes = count_crashes(deployment);
     for (int i = 0; i < 3 * max_later_arrivals; ++i)
         BOOST_TEST(traffic.send_crashing(i % 3).status != 200);
     std::this_thread::sleep_for(stability_time);
@@ -126,22 +139,18 @@
     std::this_thread::sleep_for(2 * stability_time);
     for (int i = 0; i < 2 * max_later_arrivals; ++i)
         traffic.send_crashing(2);
-    BOOST_TEST(count_crashes(deployment, options.engines) - crashes <=
-               max_later_arrivals);
+    BOOST_TEST(count_crashes(deployment) - crashes <= max_later_arrivals);
 }
 
 // Guards against a part that crashes engines again after all daemons were killed, since
 // only their memory had its block (BUDGET).
 BOOST_AUTO_TEST_CASE(a_prompt_part_stays_blocked_after_all_daemons_were_killed)
 {
-    fleet_options options;
-    options.engines = 6;
-    fleet deployment(options);
-    for (int engine = 0; engine < options.engines; ++engine)
-        control_standin(deployment.engine_address(engine), {{"crash_part", "bad"}});
+    fleet deployment(six_engines());
+    have_engines_crash(deployment);
     part_traffic traffic(deployment);
-    have_part_blocked(deployment, traffic, options.engines);
-    const int crashes = count_crashes(deployment, options.engines);
+    have_part_blocked(deployment, traffic);
+    const int crashes = count_crashes(deployment);
     constexpr int kills = 2;
     for (int kill = 0; kill < kills; ++kill)
     {
@@ -155,24 +164,21 @@
             std::this_thread::sleep_for(milliseconds(100));
         }
     }
-    BOOST_TEST(count_crashes(deployment, options.engines) - crashes <=
-               max_later_arrivals);
+    BOOST_TEST(count_crashes(deployment) - crashes <= max_later_arrivals);
 }
 
 // Guards against a daemon that takes engines which crash together for a cut of its own
 // links, relays its callers' requests and discards the evidence of the crashes.
 BOOST_AUTO_TEST_CASE(engines_that_crash_together_are_not_taken_for_a_cut)
 {
-    fleet_options options;
-    options.engines = 6;
-    fleet deployment(options);
-    for (int engine = 0; engine < options.engines; ++engine)
-        control_standin(deployment.engine_address(engine), {{"crash_part", "bad"}});
+    fleet deployment(six_engines());
+    have_engines_crash(deployment);
     constexpr int callers_per_daemon = 4;
     constexpr int requests_per_caller = 6;
+    const int caller_count = callers_per_daemon * deployment.daemon_count();
     std::vector<std::thread> callers;
-    for (int caller = 0; caller < callers_per_daemon * deployment.daemon_count();
-         ++caller)
+    callers.reserve(static_cast<std::size_t>(caller_count));
+    for (int caller = 0; caller < caller_count; ++caller)
         callers.emplace_back(
             [&, caller]
             {
@@ -187,6 +193,6 @@
             });
     for (std::thread& caller : callers)
         caller.join();
-    BOOST_TEST(count_crashes(deployment, options.engines) > 0);
+    BOOST_TEST(count_crashes(deployment) > 0);
     BOOST_TEST(count_cuts(deployment) == 0);
 }
