Count crashes of endpoints by name, so that those seen by two daemons add up

Cause of one part of it: daemons told each other a number of crashes for a content and kept the higher one. Two daemons that each saw one crash, before either heard of the other's, both went on with one instead of two. The other way round, one crash that cut off the same content at two daemons counted twice, and what a peer said of a crash cleared all other requests that the same crash had cut off here.

Crashes now have a name, the endpoint and the start of its run. What peers tell is a set that only grows; its union is the same in any order.

--- a/policy/crash_history.cpp
+++ b/policy/crash_history.cpp
@@ -20,6 +20,36 @@
         body.erase(name);
 }
 
+bool is_same_crash(const endpoint_crash& left, const endpoint_crash& right)
+{
+    return left.endpoint == right.endpoint &&
+           (left.started_ms == right.started_ms || left.started_ms == 0 ||
+            right.started_ms == 0);
+}
+
+bool is_named(const crash_suspect& suspect, const endpoint_crash& crash)
+{
+    return std::any_of(suspect.named_crashes.begin(), suspect.named_crashes.end(),
+                       [&](const endpoint_crash& known)
+                       { return is_same_crash(known, crash); });
+}
+
+// Returns true if the crash was not known by name.
+bool add_named_crash(crash_suspect& suspect, const endpoint_crash& crash)
+{
+    if (is_named(suspect, crash) || suspect.named_crashes.size() >= max_named_crashes)
+        return false;
+    suspect.named_crashes.push_back(crash);
+    return true;
+}
+
+// Returns true if the suspect was in another crash than this one.
+bool is_suspect_of_another_crash(const crash_suspect& suspect,
+                                 const endpoint_crash& crash)
+{
+    return suspect.crashes > (is_named(suspect, crash) ? 1 : 0);
+}
+
 std::string canonical_text(const std::string& body)
 {
     nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
@@ -66,12 +96,15 @@
 }
 
 std::map<std::string, int> record_crash(crash_history& history,
-                                        const std::set<std::string>& running, instant now)
+                                        const std::set<std::string>& running,
+                                        const endpoint_crash& crash, instant now)
 {
     std::set<std::string> counted_suspects;
     for (const std::string& fingerprint : running)
     {
-        if (history.suspects.count(fingerprint) > 0)
+        const auto found = history.suspects.find(fingerprint);
+        if (found != history.suspects.end() &&
+            is_suspect_of_another_crash(found->second, crash))
             counted_suspects.insert(fingerprint);
     }
     std::map<std::string, int> changed;
@@ -79,6 +112,9 @@
          counted_suspects.empty() ? running : counted_suspects)
     {
         crash_suspect& suspect = history.suspects[fingerprint];
+        if (is_named(suspect, crash))
+            continue;
+        add_named_crash(suspect, crash);
         ++suspect.crashes;
         suspect.last_crash_at = now;
         changed[fingerprint] = suspect.crashes;
@@ -94,13 +130,20 @@
 }
 
 bool merge_peer_crashes(crash_history& history, const std::string& fingerprint,
-                        int crashes, instant now)
+                        int crashes, const std::vector<endpoint_crash>& named_crashes,
+                        instant now)
 {
-    const auto found = history.suspects.find(fingerprint);
-    const int known_crashes = found == history.suspects.end() ? 0 : found->second.crashes;
-    if (crashes <= known_crashes)
+    if (crashes <= 0)
+        return false;
+    crash_suspect& suspect = history.suspects[fingerprint];
+    for (const endpoint_crash& crash : named_crashes)
+        add_named_crash(suspect, crash);
+    const int merged = std::max(
+        {suspect.crashes, crashes, static_cast<int>(suspect.named_crashes.size())});
+    if (merged == suspect.crashes)
         return false;
-    history.suspects[fingerprint] = {crashes, now};
+    suspect.crashes = merged;
+    suspect.last_crash_at = now;
     return true;
 }
 
--- a/policy/crash_history.hpp
+++ b/policy/crash_history.hpp
@@ -12,11 +12,26 @@
 namespace pollenhaven
 {
 
+// The crash of one run of an endpoint. All daemons name it alike, so that those that saw
+// it count it once.
+struct endpoint_crash
+{
+    endpoint_id endpoint;
+    // Start of the run, in milliseconds since the Unix epoch; 0 if it isn't known.
+    std::uint64_t started_ms = 0;
+};
+
+// Upper bound of the crashes that are named for one suspect. A suspect is blocked
+// earlier.
+constexpr std::size_t max_named_crashes = 8;
+
 // The endpoint crashes that count for requests with one content.
 struct crash_suspect
 {
     int crashes = 0;
     instant last_crash_at{};
+    // The crashes that are known by name; daemons of earlier versions send only a number.
+    std::vector<endpoint_crash> named_crashes;
 };
 
 // Detects requests that crash endpoints. They are recognised by a fingerprint of their
@@ -56,18 +71,22 @@
                     const std::set<std::string>& running, instant now);
 
 // Records the crash of an endpoint that ran the requests with the fingerprints `running`.
-// If there are suspects among them, the crash counts for those alone, else for all.
-// Returns the crash counts that changed, by fingerprint.
-std::map<std::string, int>
-record_crash(crash_history& history, const std::set<std::string>& running, instant now);
+// If there are suspects of other crashes among them, the crash counts for those alone,
+// else for all; not again for those for which a peer has counted it. Returns the crash
+// counts that changed, by fingerprint.
+std::map<std::string, int> record_crash(crash_history& history,
+                                        const std::set<std::string>& running,
+                                        const endpoint_crash& crash, instant now);
 
 // Records that a request with this fingerprint completed without a crash. It is no longer
 // a suspect, unless it is blocked already.
 void record_completed(crash_history& history, const std::string& fingerprint);
 
-// Adopts a peer's crash count if it is higher than the local one. Returns true if it was.
+// Adds the crashes that a peer named and this daemon didn't know, and adopts the peer's
+// count if it is higher than the local one. Returns true if the local count changed.
 bool merge_peer_crashes(crash_history& history, const std::string& fingerprint,
-                        int crashes, instant now);
+                        int crashes, const std::vector<endpoint_crash>& named_crashes,
+                        instant now);
 
 // Removes the suspects whose last crash is longer ago than `suspicion_lifetime`.
 void remove_expired(crash_history& history, instant now);
--- a/policy/fleet/crash_detector.cpp
+++ b/policy/fleet/crash_detector.cpp
@@ -53,11 +53,16 @@
     if (found == detector.cut_off.end())
         return {};
     std::set<std::string> running;
+    endpoint_crash crash{endpoint, 0};
     for (const cut_off_request& request : found->second)
-        if (is_recent(request, now))
-            running.insert(request.fingerprint);
+    {
+        if (!is_recent(request, now))
+            continue;
+        running.insert(request.fingerprint);
+        crash.started_ms = std::max(crash.started_ms, request.endpoint_started_ms);
+    }
     detector.cut_off.erase(found);
-    return record_crash(detector.history, running, now);
+    return record_crash(detector.history, running, crash, now);
 }
 
 std::set<endpoint_id> endpoints_with_suspects(const crash_detector& detector)
--- a/policy/fleet/crash_detector.hpp
+++ b/policy/fleet/crash_detector.hpp
@@ -19,6 +19,9 @@
     instant cut_off_at{};
     // The shared parts of its prompt; none if the endpoint had begun to answer it.
     std::vector<prompt_part_id> unanswered_parts;
+    // Start of the endpoint's run, in milliseconds since the Unix epoch; 0 if it isn't
+    // known.
+    std::uint64_t endpoint_started_ms = 0;
 };
 
 // Distinguishes crashes of endpoints from connections that broke for other reasons. A
--- a/servers/gateway/crash_guard.cpp
+++ b/servers/gateway/crash_guard.cpp
@@ -90,7 +90,10 @@
                         {"prompt_parts", joined(exchange.request.shared_prompt_parts)},
                         {"running_ms", std::int64_t{running.count()}},
                         {"has_event", std::int64_t{exchange.boundary.has_event}}});
-    cut_off_request request{fingerprint_of(exchange), context_.loop.now(), {}};
+    cut_off_request request{fingerprint_of(exchange), context_.loop.now(), {}, 0};
+    const auto view = context_.fleet.endpoints.find(exchange.endpoint);
+    if (view != context_.fleet.endpoints.end())
+        request.endpoint_started_ms = view->second.record.started_ms;
     if (!exchange.boundary.has_event)
         request.unanswered_parts = exchange.request.shared_prompt_parts;
     record_cut_off(detector_, exchange.endpoint, request);
@@ -160,11 +163,24 @@
     for (const auto& [fingerprint, crashes] : message.crashes)
         if (crashes == 0)
             record_completed(detector_.history, fingerprint);
-        else if (merge_peer_crashes(detector_.history, fingerprint, crashes,
-                                    context_.loop.now()))
-            context_.log.write("suspect request", {{"content", fingerprint},
-                                                   {"crashes", std::int64_t{crashes}},
-                                                   {"told_by", message.sender.value}});
+        else
+            merge_suspect(message, fingerprint, crashes);
+}
+
+void crash_guard::merge_suspect(const suspects_message& message,
+                                const std::string& fingerprint, int crashes)
+{
+    const auto named = message.named_crashes.find(fingerprint);
+    if (!merge_peer_crashes(detector_.history, fingerprint, crashes,
+                            named == message.named_crashes.end()
+                                ? std::vector<endpoint_crash>{}
+                                : named->second,
+                            context_.loop.now()))
+        return;
+    const int known_crashes = detector_.history.suspects.at(fingerprint).crashes;
+    context_.log.write("suspect request", {{"content", fingerprint},
+                                           {"crashes", std::int64_t{known_crashes}},
+                                           {"told_by", message.sender.value}});
 }
 
 void crash_guard::announce(const std::string& fingerprint, int crashes)
@@ -210,10 +226,14 @@
             continue;
         --announced.sends_left;
         message.crashes[fingerprint] = announced.crashes;
+        const auto suspect = detector_.history.suspects.find(fingerprint);
+        if (announced.crashes > 0 && suspect != detector_.history.suspects.end())
+            message.named_crashes[fingerprint] = suspect->second.named_crashes;
         if (message.crashes.size() < max_suspects_per_message)
             continue;
         broadcast_(message);
         message.crashes.clear();
+        message.named_crashes.clear();
     }
     if (!message.crashes.empty())
         broadcast_(message);
--- a/servers/gateway/crash_guard.hpp
+++ b/servers/gateway/crash_guard.hpp
@@ -60,6 +60,9 @@
     void settle_loss(const endpoint_id& endpoint);
     // Connects to the endpoint to find out whether it still listens.
     void probe(const endpoint_id& endpoint);
+    // Applies a peer's crash count for one content.
+    void merge_suspect(const suspects_message& message, const std::string& fingerprint,
+                       int crashes);
     // Sends a changed crash count to all peers, several times. Changes that follow each
     // other closely are sent together.
     void announce(const std::string& fingerprint, int crashes);
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -163,9 +163,15 @@
 
 json encode_body(const suspects_message& message)
 {
+    json named = json::object();
+    for (const auto& [fingerprint, crashes] : message.named_crashes)
+        for (const endpoint_crash& crash : crashes)
+            named[fingerprint].push_back(
+                json::array({crash.endpoint.value, crash.started_ms}));
     return {{"kind", "suspects"},
             {"from", message.sender.value},
-            {"crashes", message.crashes}};
+            {"crashes", message.crashes},
+            {"named", named}};
 }
 
 json encode_body(const prompt_parts_message& message)
@@ -361,6 +367,12 @@
 {
     suspects_message message;
     message.crashes = body.at("crashes").get<std::map<std::string, int>>();
+    if (!body.contains("named"))
+        return message;
+    for (const auto& [fingerprint, crashes] : body.at("named").items())
+        for (const json& crash : crashes)
+            message.named_crashes[fingerprint].push_back(
+                {{crash.at(0).get<std::string>()}, crash.at(1).get<std::uint64_t>()});
     return message;
 }
 
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -3,6 +3,7 @@
 
 #include "core/ids.hpp"
 #include "core/records/endpoint_record.hpp"
+#include "policy/crash_history.hpp"
 #include "policy/fleet/load_time_model.hpp"
 #include "policy/fleet/prompt_part_crashes.hpp"
 #include "policy/fleet/request_limit.hpp"
@@ -137,6 +138,9 @@
 {
     daemon_id sender;
     std::map<std::string, int> crashes;
+    // The crashes by name, as far as the sender knows them. Daemons of earlier versions
+    // send none.
+    std::map<std::string, std::vector<endpoint_crash>> named_crashes;
 };
 
 // A blocked part of prompts, as it is told to peers.
--- a/tests/contract/fleet_wire_test.cpp
+++ b/tests/contract/fleet_wire_test.cpp
@@ -167,9 +167,13 @@
                    .counts.at({"i-1"})
                    .pending_prefill_tokens == 2400);
 
-    const fleet_message decoded_suspects =
-        decode(encode(suspects_message{{"daemon-1"}, {{"print", 2}}}));
+    const fleet_message decoded_suspects = decode(encode(
+        suspects_message{{"daemon-1"}, {{"print", 2}}, {{"print", {{{"i-1"}, 7}}}}}));
     BOOST_TEST(std::get<suspects_message>(decoded_suspects).crashes.at("print") == 2);
+    const std::vector<endpoint_crash> named =
+        std::get<suspects_message>(decoded_suspects).named_crashes.at("print");
+    BOOST_TEST(named.at(0).endpoint.value == "i-1");
+    BOOST_TEST(named.at(0).started_ms == 7U);
 
     const fleet_message decoded_parts =
         decode(encode(prompt_parts_message{{"daemon-1"},
--- a/tests/policy/request_policy_test.cpp
+++ b/tests/policy/request_policy_test.cpp
@@ -7,6 +7,25 @@
 
 using namespace pollenhaven;
 
+namespace
+{
+
+// Passes on what one daemon knows of crashes to another.
+void tell_suspects(const crash_history& from, crash_history& to, instant now)
+{
+    const std::map<std::string, crash_suspect> told = from.suspects;
+    for (const auto& [fingerprint, suspect] : told)
+        merge_peer_crashes(to, fingerprint, suspect.crashes, suspect.named_crashes, now);
+}
+
+void exchange_suspects(crash_history& left, crash_history& right, instant now)
+{
+    tell_suspects(left, right, now);
+    tell_suspects(right, left, now);
+}
+
+} // namespace
+
 BOOST_AUTO_TEST_SUITE(requests)
 
 // Requests to the store and its responses may be lost. Of any number of attempts with one
@@ -149,7 +168,8 @@
                 if (!is_crashing)
                     continue;
                 ++crashes;
-                record_crash(recorded_crashes, running, now);
+                record_crash(recorded_crashes, running,
+                             {{"engine"}, static_cast<std::uint64_t>(crashes)}, now);
                 running.clear();
             }
             RC_ASSERT(crashes <= recorded_crashes.max_crashes);
@@ -160,6 +180,88 @@
         });
 }
 
+// Guards against a third crash: two daemons that each see one crash of the same content,
+// before either hears of the other's, counted one crash together.
+BOOST_AUTO_TEST_CASE(crashes_that_two_daemons_saw_at_two_endpoints_add_up)
+{
+    const instant now{seconds(100)};
+    crash_history first;
+    crash_history second;
+    record_crash(first, {"poison"}, {{"i-1"}, 1}, now);
+    record_crash(second, {"poison"}, {{"i-2"}, 1}, now);
+    exchange_suspects(first, second, now);
+    for (const crash_history& history : {first, second})
+        BOOST_TEST(
+            (suspect_status_of(history, "poison", now) == suspect_status::blocked));
+}
+
+// Guards against a block after a single crash: two daemons whose requests ran at the same
+// endpoint counted its crash twice.
+BOOST_AUTO_TEST_CASE(one_crash_that_two_daemons_saw_counts_once)
+{
+    const instant now{seconds(100)};
+    crash_history first;
+    crash_history second;
+    record_crash(first, {"sound"}, {{"i-1"}, 1}, now);
+    exchange_suspects(first, second, now);
+    record_crash(second, {"sound"}, {{"i-1"}, 1}, now);
+    exchange_suspects(first, second, now);
+    for (const crash_history& history : {first, second})
+        BOOST_TEST(
+            (suspect_status_of(history, "sound", now) == suspect_status::suspected));
+}
+
+// Guards against a culprit that stays unknown: what a peer reported of the same crash
+// cleared all other requests that ran there.
+BOOST_AUTO_TEST_CASE(a_peers_report_of_the_same_crash_clears_no_other_request)
+{
+    const instant now{seconds(100)};
+    crash_history first;
+    crash_history second;
+    record_crash(first, {"sound"}, {{"i-1"}, 1}, now);
+    exchange_suspects(first, second, now);
+    record_crash(second, {"sound", "poison"}, {{"i-1"}, 1}, now);
+    BOOST_TEST((suspect_status_of(second, "poison", now) == suspect_status::suspected));
+}
+
+// Requests with one content crash every engine that runs them, through daemons that hear
+// of each other's crashes late and in any order. Once all have heard of two crashes there
+// is no third, and no other content is blocked.
+BOOST_AUTO_TEST_CASE(daemons_that_hear_late_of_crashes_block_after_two_of_them)
+{
+    check_property(
+        "daemons that hear late of crashes block the content after two of them",
+        []
+        {
+            constexpr int daemons = 3;
+            const instant now{seconds(100)};
+            std::vector<crash_history> histories(daemons);
+            int crashes = 0;
+            const int steps = *rc::gen::inRange(2, 30);
+            for (int step = 0; step < steps; ++step)
+            {
+                crash_history& history = histories.at(*rc::gen::inRange(0, daemons));
+                if (*rc::gen::inRange(0, 2) == 0)
+                {
+                    exchange_suspects(history,
+                                      histories.at(*rc::gen::inRange(0, daemons)), now);
+                    continue;
+                }
+                if (!may_run_beside(history, "poison", {}, now))
+                    continue;
+                ++crashes;
+                record_crash(history, {"poison"}, {{"i-" + std::to_string(crashes)}, 1},
+                             now);
+            }
+            for (crash_history& from : histories)
+                for (crash_history& to : histories)
+                    exchange_suspects(from, to, now);
+            for (const crash_history& history : histories)
+                RC_ASSERT((crashes < 2) == (suspect_status_of(history, "poison", now) !=
+                                            suspect_status::blocked));
+        });
+}
+
 BOOST_AUTO_TEST_CASE(a_retried_request_has_the_same_fingerprint)
 {
     const std::string first = content_fingerprint("m@v1", R"({"a":1,"stream":true})");
@@ -174,12 +276,12 @@
 {
     crash_detector detector;
     const instant now{seconds(100)};
-    record_cut_off(detector, {"i-1"}, {"content", now, {}});
+    record_cut_off(detector, {"i-1"}, {"content", now, {}, 0});
     BOOST_TEST(record_endpoint_lost(detector, {"i-2"}, now).empty());
     BOOST_TEST(record_endpoint_lost(detector, {"i-1"}, now + seconds(30)).empty());
     BOOST_TEST(
         (suspect_status_of(detector.history, "content", now) == suspect_status::allowed));
-    record_cut_off(detector, {"i-1"}, {"content", now, {}});
+    record_cut_off(detector, {"i-1"}, {"content", now, {}, 0});
     BOOST_TEST(!record_endpoint_lost(detector, {"i-1"}, now + seconds(1)).empty());
     BOOST_TEST((suspect_status_of(detector.history, "content", now) ==
                 suspect_status::suspected));
