Probe an endpoint several times after a request was cut off there, and believe peers that name its crash

Cause, from the daemons' logs of a run with four crashes: after a cut-off the daemon connected to the engine once. The kernel accepted the connection for a process that was about to end, so nothing showed the crash. The daemon noticed it 1.06 s later, with its next request for that engine, and announced it 1.21 s after the cut-off; two other daemons had sent the same content on by then, 0.38 and 0.76 s after. Another daemon had announced the crash of the same engine 0.35 s after it, but only for its own requests.

Ruled out: that the decision about the daemon's own links held the evidence back (150 ms after the crash was noticed it was announced).

Evidence: two new cases of contract_test (crash_guards) fail without the change and pass with it; a third one, an engine that goes on listening, passes on both.

--- a/servers/gateway/crash_guard.cpp
+++ b/servers/gateway/crash_guard.cpp
@@ -12,6 +12,10 @@
 // Longer than one round trip, within which an endpoint that doesn't listen refuses a
 // connection.
 constexpr milliseconds probe_timeout{100};
+// The kernel accepts connections for a process that is about to end, so one that stands
+// doesn't show that the endpoint lives. It is probed again after this interval.
+constexpr milliseconds probe_interval{50};
+constexpr int probes_per_cut_off = 4;
 // Each change is sent this many times, because datagrams can be lost.
 constexpr int broadcast_count = 3;
 constexpr milliseconds broadcast_interval{300};
@@ -97,28 +101,30 @@
     if (!exchange.boundary.has_event)
         request.unanswered_parts = exchange.request.shared_prompt_parts;
     record_cut_off(detector_, exchange.endpoint, request);
-    probe(exchange.endpoint);
+    if (probed_.insert(exchange.endpoint).second)
+        probe(exchange.endpoint, probes_per_cut_off);
 }
 
 // The endpoint's entry may stay in the store for seconds after a crash, but a connection
 // attempt shows at once whether the endpoint still listens.
-void crash_guard::probe(const endpoint_id& endpoint)
+void crash_guard::probe(const endpoint_id& endpoint, int probes_left)
 {
     const auto view = context_.fleet.endpoints.find(endpoint);
-    if (view == context_.fleet.endpoints.end() || !probed_.insert(endpoint).second)
+    if (view == context_.fleet.endpoints.end() || probes_left == 0 ||
+        !detector_.cut_off.contains(endpoint))
+    {
+        probed_.erase(endpoint);
         return;
+    }
     stream_handlers handlers;
     handlers.ended = [this, endpoint](stream_id, stream_end)
     { on_endpoint_lost(endpoint); };
     const stream_id stream =
         context_.loop.connect(view->second.record.address, std::move(handlers));
     context_.loop.schedule_after(probe_timeout,
-                                 [this, endpoint, stream]
-                                 {
-                                     probed_.erase(endpoint);
-                                     if (context_.loop.is_open(stream))
-                                         context_.loop.close(stream);
-                                 });
+                                 [this, stream] { context_.loop.close(stream); });
+    context_.loop.schedule_after(probe_interval, [this, endpoint, probes_left]
+                                 { probe(endpoint, probes_left - 1); });
 }
 
 void crash_guard::on_endpoint_lost(const endpoint_id& endpoint)
@@ -171,6 +177,9 @@
                                 const std::string& fingerprint, int crashes)
 {
     const auto named = message.named_crashes.find(fingerprint);
+    if (named != message.named_crashes.end())
+        for (const endpoint_crash& crash : named->second)
+            on_endpoint_lost(crash.endpoint);
     if (!merge_peer_crashes(detector_.history, fingerprint, crashes,
                             named == message.named_crashes.end()
                                 ? std::vector<endpoint_crash>{}
--- a/servers/gateway/crash_guard.hpp
+++ b/servers/gateway/crash_guard.hpp
@@ -58,9 +58,10 @@
     // Records the loss of the endpoint as a crash, once it is known that this daemon's
     // links aren't the cause.
     void settle_loss(const endpoint_id& endpoint);
-    // Connects to the endpoint to find out whether it still listens.
-    void probe(const endpoint_id& endpoint);
-    // Applies a peer's crash count for one content.
+    // Connects to the endpoint, this many times, to find out whether it still listens.
+    void probe(const endpoint_id& endpoint, int probes_left);
+    // Applies a peer's crash count for one content. A crash that a peer names is one of
+    // an endpoint at which requests of this daemon were cut off, too.
     void merge_suspect(const suspects_message& message, const std::string& fingerprint,
                        int crashes);
     // Sends a changed crash count to all peers, several times. Changes that follow each
@@ -87,7 +88,7 @@
     std::map<std::string, announcement> announcements_;
     bool new_announcements_scheduled_ = false;
     bool repetition_scheduled_ = false;
-    // Endpoints with a probe in progress.
+    // Endpoints that are being probed.
     std::set<endpoint_id> probed_;
 };
 
--- a/tests/contract/crash_guard_test.cpp
+++ b/tests/contract/crash_guard_test.cpp
@@ -1,5 +1,6 @@
 #include "core/plugin_registry.hpp"
 #include "servers/gateway/crash_guard.hpp"
+#include "tests/harness/process.hpp"
 
 #include <boost/test/unit_test.hpp>
 
@@ -34,6 +35,14 @@
     {
     }
 
+    endpoint_view& add_engine(const std::string& id)
+    {
+        endpoint_view& engine = context.fleet.endpoints[{id}];
+        engine.record.id = {id};
+        engine.record.address = {"127.0.0.1:" + std::to_string(harness::free_port())};
+        return engine;
+    }
+
     void on_sent(const fleet_message& message)
     {
         bytes_sent += encode(message).size();
@@ -88,4 +97,40 @@
         BOOST_TEST(times >= 3, fingerprint);
 }
 
+// Guards against a crash that nobody notices: the only probe was accepted by the kernel
+// for a process that was about to end.
+BOOST_FIXTURE_TEST_CASE(an_engine_that_stops_listening_after_the_first_probe_has_crashed,
+                        guard_fixture)
+{
+    constexpr milliseconds dying_time{30};
+    endpoint_view& engine = add_engine("i-1");
+    context.loop.listen(engine.record.address, [](stream_id) {});
+    cut_off_request({"i-1"}, 1);
+    context.loop.schedule_after(dying_time, [this] { context.loop.stop_listening(); });
+    run_for(milliseconds(500));
+    BOOST_TEST(times_told.size() == 1U);
+}
+
+// Guards against a crash that one daemon doesn't notice although a peer names it.
+BOOST_FIXTURE_TEST_CASE(a_crash_that_a_peer_names_counts_for_requests_cut_off_here,
+                        guard_fixture)
+{
+    endpoint_view& engine = add_engine("i-1");
+    context.loop.listen(engine.record.address, [](stream_id) {});
+    cut_off_request({"i-1"}, 1);
+    guard.merge_suspects({{"peer"}, {{"other", 1}}, {{"other", {{{"i-1"}, 0}}}}});
+    run_for(milliseconds(500));
+    BOOST_TEST(times_told.size() == 1U);
+}
+
+// An engine that goes on listening has not crashed; its requests are no suspects.
+BOOST_FIXTURE_TEST_CASE(an_engine_that_goes_on_listening_has_not_crashed, guard_fixture)
+{
+    endpoint_view& engine = add_engine("i-1");
+    context.loop.listen(engine.record.address, [](stream_id) {});
+    cut_off_request({"i-1"}, 1);
+    run_for(milliseconds(800));
+    BOOST_TEST(times_told.empty());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
