Read all that has arrived before timers that are due judge by it

Callers, engines and the store were judged by bytes that lay unread: a wait that a signal interrupts (SIGSTOP and SIGCONT do) reports no events although the clock has gone on, and a wait reports at most 64 of them. Timers that were due ran at once, and closed idle connections, gave up calls and streams, and refused requests whose bytes were in their sockets.

The loop now takes the time, and if a timer is due by that time, it polls on without waiting before any timer runs. epoll reports ready descriptors in turn, so as many events as there are descriptors include each that was ready. After that it reads on while there is anything, for 20 ms of processor time, since one read takes 16 KB and a message may be longer. Processor time doesn't pass while the process is stopped, so a pause can't use up the bound.

Weighed: a bound in clock time (a pause uses it up); no bound (a flood of datagrams starves timers, which a test guards); a check in each timer of its own socket (there are a dozen, and the next would lack it); reading each stream until it is empty (one sender starves the others).

Evidence: the new test, 300 streams with 50,000 bytes each and one timer, printed "1048576 !=" before (64 reads of 16 KB) and passed 5 of 5 runs after; the datagram test passes too, and contract_test as a whole once. Ruled out as the cause: the order of timers and sockets alone, which was right for up to 64 events.

--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <ctime>
 #include <stdexcept>
 
 namespace pollenhaven
@@ -26,6 +27,9 @@
 // Enough for a caller to read a response and close its side.
 constexpr milliseconds linger_time{500};
 constexpr int max_events_per_wait = 64;
+// Processor time for reading before timers that are due get their turn, once each stream
+// has been read. Processor time doesn't pass while the process is stopped.
+constexpr std::chrono::milliseconds max_reading_before_timers{20};
 // Upper bound of one wait, because signals are handled only between two waits.
 constexpr int max_wait_ms = 200;
 // A connection whose data stays unacknowledged for this long is closed. The time is long
@@ -46,6 +50,13 @@
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
 
+std::chrono::nanoseconds thread_processor_time()
+{
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
 } // namespace
 
 event_loop::event_loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), now_(boot_clock::now())
@@ -447,20 +458,54 @@
         read_stream(id);
 }
 
+std::span<const epoll_event> event_loop::wait_for_events(std::span<epoll_event> events,
+                                                         int timeout_ms) const
+{
+    const int count = epoll_wait(epoll_.number(), events.data(),
+                                 static_cast<int>(events.size()), timeout_ms);
+    return events.first(static_cast<std::size_t>(std::max(count, 0)));
+}
+
+void event_loop::handle_events(std::span<const epoll_event> events)
+{
+    for (const epoll_event& event : events)
+        handle_event(event.data.u64, event.events);
+}
+
+// A wait that a signal interrupts reports no events, and a wait reports only some of
+// many, while the clock has gone on. epoll reports ready descriptors in turn, so as many
+// events as there are descriptors include each that was ready at `now_`.
+void event_loop::handle_arrived_events()
+{
+    const std::chrono::nanoseconds limit =
+        thread_processor_time() + max_reading_before_timers;
+    std::array<epoll_event, max_events_per_wait> buffer{};
+    std::size_t handled = 0;
+    while (handled <= streams_.size() + listeners_.size() ||
+           thread_processor_time() < limit)
+    {
+        const std::span<const epoll_event> events = wait_for_events(buffer, 0);
+        if (events.empty())
+            return;
+        handle_events(events);
+        handled += events.size();
+    }
+}
+
 void event_loop::run(const std::function<bool()>& finished)
 {
-    std::array<epoll_event, max_events_per_wait> events{};
+    std::array<epoll_event, max_events_per_wait> buffer{};
     while (!finished())
     {
         flush();
         const instant before_wait = boot_clock::now();
         statistics_.busy += before_wait - now_;
-        const int count = epoll_wait(epoll_.number(), events.data(), max_events_per_wait,
-                                     epoll_timeout_ms(before_wait));
+        const std::span<const epoll_event> events =
+            wait_for_events(buffer, epoll_timeout_ms(before_wait));
         now_ = boot_clock::now();
-        for (int at = 0; at < count; ++at)
-            handle_event(events[static_cast<std::size_t>(at)].data.u64,
-                         events[static_cast<std::size_t>(at)].events);
+        handle_events(events);
+        if (!timers_.empty() && timers_.begin()->first.first <= now_)
+            handle_arrived_events();
         run_timers();
     }
     flush();
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -8,12 +8,15 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+struct epoll_event;
+
 namespace pollenhaven
 {
 
@@ -104,7 +107,9 @@
     // lost. Throws std::runtime_error if `to` is malformed.
     void send_datagram(const network_address& to, std::string_view bytes);
 
-    // Calls `call` once, at or after the given time.
+    // Calls `call` once, at or after the given time. What had arrived at `now()` has been
+    // read before any timer that is due runs, so a timer may conclude from the lack of a
+    // message that its peer hasn't sent it.
     timer_id schedule(instant when, std::function<void()> call);
     timer_id schedule_after(milliseconds delay, std::function<void()> call);
     // Does nothing if the timer has already run or is 0.
@@ -149,6 +154,11 @@
     void run_timers();
     int epoll_timeout_ms(instant now) const;
     void handle_event(std::uint64_t tag, std::uint32_t events);
+    // Waits for events and returns the first of them, at most as many as `events` holds.
+    std::span<const epoll_event> wait_for_events(std::span<epoll_event> events,
+                                                 int timeout_ms) const;
+    void handle_events(std::span<const epoll_event> events);
+    void handle_arrived_events();
 
     struct listener
     {
--- a/tests/contract/event_loop_test.cpp
+++ b/tests/contract/event_loop_test.cpp
@@ -3,6 +3,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <memory>
 #include <optional>
 
@@ -84,4 +85,55 @@
     }
 }
 
+// Guards against a peer that is judged by what lies unread: many streams have bytes when
+// a timer is due, as after a pause of the process, and it runs before they are read.
+BOOST_AUTO_TEST_CASE(a_due_timer_runs_after_all_that_had_arrived_was_read)
+{
+    constexpr std::size_t connections = 300;
+    // Less than a socket holds, more than one read takes.
+    const std::string message(50000, 'x');
+    event_loop server;
+    event_loop client;
+    const network_address address{"127.0.0.1:" + std::to_string(harness::free_port())};
+    std::size_t accepted = 0;
+    std::size_t received = 0;
+    server.listen(address,
+                  [&](stream_id id)
+                  {
+                      ++accepted;
+                      stream_handlers handlers;
+                      handlers.readable = [&](stream_id from)
+                      {
+                          received += server.input(from).size();
+                          server.input(from).clear();
+                      };
+                      server.set_handlers(id, std::move(handlers));
+                  });
+    std::vector<stream_id> streams;
+    for (std::size_t connection = 0; connection < connections; ++connection)
+        streams.push_back(client.connect(address, {}));
+    const instant limit = boot_clock::now() + seconds(5);
+    const auto run = [&](event_loop& loop, const std::function<bool()>& done)
+    {
+        loop.schedule_after(milliseconds(1), [] {});
+        loop.run([&] { return done() || boot_clock::now() > limit; });
+    };
+    run(server, [&] { return accepted == connections; });
+    std::optional<std::size_t> received_before_timer;
+    server.schedule(boot_clock::now() + milliseconds(1),
+                    [&] { received_before_timer = received; });
+    for (const stream_id stream : streams)
+        client.send(stream, message);
+    run(client,
+        [&]
+        {
+            return std::none_of(streams.begin(), streams.end(),
+                                [&](stream_id id)
+                                { return client.pending_output(id) > 0; });
+        });
+    run(server, [&] { return received_before_timer.has_value(); });
+    BOOST_REQUIRE(received_before_timer.has_value());
+    BOOST_TEST(*received_before_timer == connections * message.size());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
