End an idle caller connection only with nothing unread, and in order

Callers saw a reset without an answer for whole requests on kept connections: close_idle judged a connection by the time at which this process last read from it, and closed it at once. Closing with unread bytes resets it. The same happened to a caller that read a long response slowly, since its connection counted as idle from the time at which the response was generated: the rest of the response was thrown away.

Before a connection is ended for being idle, the server now reads what has arrived on it, and leaves it open if that is the start of a request. A connection with a response that isn't written yet isn't idle. Nothing is read in between, so a request that crosses the end stays unread and its caller knows that it didn't run.

Weighed: reading and discarding what crosses (a request that was read and has no answer can't be told from one that ran); a 408 before the end (bytes on a connection whose caller expects none).

--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -50,6 +51,14 @@
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
 
+std::size_t unread_bytes(const file_descriptor& socket)
+{
+    int bytes = 0;
+    if (ioctl(socket.number(), FIONREAD, &bytes) != 0)
+        return 0;
+    return static_cast<std::size_t>(std::max(bytes, 0));
+}
+
 std::chrono::nanoseconds thread_processor_time()
 {
     timespec used{};
@@ -272,6 +281,18 @@
     schedule_after(linger_time, [this, id] { close(id); });
 }
 
+void event_loop::end_unread(stream_id id)
+{
+    const auto found = streams_.find(id.value);
+    if (found == streams_.end())
+        return;
+    shutdown(found->second.socket.number(), SHUT_WR);
+    found->second.handlers = {};
+    found->second.ends_unread = true;
+    pause_reading(id);
+    schedule_after(linger_time, [this, id] { close(id); });
+}
+
 void event_loop::end_stream(stream_id id, stream_end end)
 {
     const auto found = streams_.find(id.value);
@@ -308,6 +329,17 @@
         readable(id);
 }
 
+void event_loop::read_arrived(stream_id id)
+{
+    const auto found = streams_.find(id.value);
+    if (found == streams_.end())
+        return;
+    const std::size_t reads =
+        (unread_bytes(found->second.socket) + read_bytes - 1) / read_bytes;
+    for (std::size_t read = 0; read < reads; ++read)
+        read_stream(id);
+}
+
 void event_loop::write_stream(stream_id id)
 {
     const auto found = streams_.find(id.value);
@@ -452,6 +484,10 @@
     if (listeners_.contains(tag))
         return accept_all(tag);
     const stream_id id{tag};
+    const auto found = streams_.find(tag);
+    // Both sides have ended: EPOLLHUP is reported even while reading is paused.
+    if (found != streams_.end() && found->second.ends_unread)
+        return close(id);
     if ((events & EPOLLOUT) != 0)
         write_stream(id);
     if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -78,6 +78,9 @@
     // bytes stay in the kernel and the peer has to wait.
     void pause_reading(stream_id id);
     void resume_reading(stream_id id);
+    // Reads what has arrived on the stream by now, with its handlers, rather than in the
+    // next iteration. Does nothing if the stream is closed.
+    void read_arrived(stream_id id);
     // Returns the number of bytes that were not passed to the kernel yet; 0 if the stream
     // is closed.
     std::size_t pending_output(stream_id id) const;
@@ -99,6 +102,12 @@
     // after set_reset_on_close() with a reset as soon as the output is written.
     void close_after_output(stream_id id);
 
+    // Ends the sending side of an idle stream now, and closes it once the peer has closed
+    // its side or has had time to. Nothing more is read: a message that crosses the end
+    // stays unread, and the reset that answers it tells its sender so. `ended` isn't
+    // called.
+    void end_unread(stream_id id);
+
     // Receives datagrams on an address. Throws std::runtime_error if the address can't be
     // bound.
     void listen_for_datagrams(const network_address& address,
@@ -134,6 +143,8 @@
         bool reading_paused = false;
         bool closes_after_output = false;
         bool resets_on_close = false;
+        // See end_unread().
+        bool ends_unread = false;
         bool flush_scheduled = false;
         bool has_written = false;
     };
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -61,11 +61,15 @@
     return found != connections_.end() && found->second.is_from_peer;
 }
 
+caller_limits http_server::configured_limits() const
+{
+    return context_.routing ? context_.routing->limits : caller_limits{};
+}
+
 message_limits http_server::limits() const
 {
     message_limits result;
-    const caller_limits configured =
-        context_.routing ? context_.routing->limits : caller_limits{};
+    const caller_limits configured = configured_limits();
     result.head_bytes = configured.header_bytes;
     result.body_bytes = configured.body_bytes;
     return result;
@@ -73,10 +77,10 @@
 
 void http_server::on_accepted(stream_id id, bool is_from_peer)
 {
-    connections_.emplace(
-        id.value,
-        caller_connection{http_reader(http_reader::message_kind::request, limits()),
-                          is_from_peer, false, true, context_.loop.now(), false});
+    caller_connection connection{
+        http_reader(http_reader::message_kind::request, limits()), is_from_peer};
+    become_idle(connection);
+    connections_.emplace(id.value, std::move(connection));
     stream_handlers handlers;
     handlers.readable = [this](stream_id readable) { on_readable(readable); };
     handlers.ended = [this](stream_id ended, stream_end) { on_ended(ended); };
@@ -234,10 +238,8 @@
         connections_.erase(id.value);
         return context_.loop.close_after_output(id);
     }
-    connection.request_in_progress = false;
-    connection.idle_since = context_.loop.now();
-    connection.request_started = false;
     connection.reader = http_reader(http_reader::message_kind::request, limits());
+    become_idle(connection);
     if (context_.loop.input(id).empty())
         return;
     // The next request is read from a timer, because a series of pipelined requests would
@@ -250,28 +252,54 @@
                                  });
 }
 
+void http_server::become_idle(caller_connection& connection) const
+{
+    connection.request_in_progress = false;
+    connection.request_started = false;
+    connection.idle_since = context_.loop.now();
+}
+
+bool http_server::is_idle_too_long(const caller_connection& connection) const
+{
+    return context_.loop.now() - connection.idle_since > configured_limits().idle_timeout;
+}
+
+void http_server::end_if_idle(stream_id id, bool all)
+{
+    context_.loop.read_arrived(id);
+    const auto found = connections_.find(id.value);
+    if (found == connections_.end() || found->second.request_started ||
+        !(all || is_idle_too_long(found->second)))
+        return;
+    // A request has just been answered, or the next one has been read with it.
+    if (context_.loop.pending_output(id) > 0 || !context_.loop.input(id).empty())
+        return;
+    connections_.erase(found);
+    context_.loop.end_unread(id);
+}
+
 void http_server::close_idle(bool all)
 {
-    const instant now = context_.loop.now();
-    const caller_limits configured =
-        context_.routing ? context_.routing->limits : caller_limits{};
+    const caller_limits configured = configured_limits();
     std::vector<stream_id> idle;
     std::vector<stream_id> slow;
-    for (const auto& [id, connection] : connections_)
+    for (auto& [id, connection] : connections_)
     {
         if (connection.request_in_progress)
             continue;
-        const auto age = now - connection.idle_since;
+        const auto age = context_.loop.now() - connection.idle_since;
         if (connection.request_started && age > configured.header_timeout)
             slow.push_back({id});
-        else if (!connection.request_started && (all || age > configured.idle_timeout))
+        if (connection.request_started)
+            continue;
+        // A caller that still reads its last response hasn't become idle.
+        if (context_.loop.pending_output({id}) > 0)
+            connection.idle_since = context_.loop.now();
+        else if (all || is_idle_too_long(connection))
             idle.push_back({id});
     }
     for (const stream_id id : idle)
-    {
-        connections_.erase(id.value);
-        context_.loop.close(id);
-    }
+        end_if_idle(id, all);
     for (const stream_id id : slow)
     {
         connections_.at(id.value).request_in_progress = true;
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -67,9 +67,11 @@
     // can't mistake the truncated response for a complete one.
     void abort_response(stream_id caller);
 
-    // Closes connections that have been idle for longer than the configured time, or all
-    // idle ones if `all` is set, and refuses requests that arrive too slowly. Must be
-    // called periodically.
+    // Ends connections that have been idle for longer than the configured time, or all
+    // idle ones if `all` is set, and refuses requests that arrive too slowly. A
+    // connection with a request that lies unread isn't idle. A lowered limit holds for
+    // connections that become idle after it, since their callers go by the limit that
+    // they know. Must be called periodically.
     void close_idle(bool all);
     std::size_t connections() const { return connections_.size(); }
 
@@ -97,6 +99,11 @@
     void finish_response(stream_id id);
     std::string status_line(int status) const;
     std::string connection_fields(const caller_connection& connection) const;
+    // Prepares the connection for the next request.
+    void become_idle(caller_connection& connection) const;
+    bool is_idle_too_long(const caller_connection& connection) const;
+    void end_if_idle(stream_id id, bool all);
+    caller_limits configured_limits() const;
     message_limits limits() const;
 
     gateway_context& context_;
--- /dev/null
+++ b/tests/contract/caller_connections_test.cpp
@@ -0,0 +1,185 @@
+#include "core/plugin_registry.hpp"
+#include "servers/gateway/http_server.hpp"
+#include "tests/harness/process.hpp"
+
+#include <boost/test/unit_test.hpp>
+#include <sys/socket.h>
+
+#include <array>
+#include <cerrno>
+#include <functional>
+
+using namespace pollenhaven;
+
+namespace
+{
+
+const std::string request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
+
+gateway_settings test_settings()
+{
+    gateway_settings result;
+    result.id = {"daemon"};
+    return result;
+}
+
+// A caller whose socket is used directly, so that it can act while the loop is in a turn.
+struct caller
+{
+    file_descriptor socket;
+    std::string received;
+    bool ended = false;
+    bool was_reset = false;
+
+    void send(const std::string& bytes) const
+    {
+        BOOST_REQUIRE(::send(socket.number(), bytes.data(), bytes.size(), MSG_NOSIGNAL) ==
+                      static_cast<ssize_t>(bytes.size()));
+    }
+
+    void receive()
+    {
+        std::array<char, 65536> buffer{};
+        ssize_t count = 0;
+        while ((count = recv(socket.number(), buffer.data(), buffer.size(), 0)) > 0)
+            received.append(buffer.data(), static_cast<std::size_t>(count));
+        ended = ended || count == 0;
+        was_reset = was_reset || (count < 0 && errno == ECONNRESET);
+    }
+
+    std::size_t responses() const
+    {
+        std::size_t count = 0;
+        for (std::size_t at = received.find("HTTP/1.1 "); at != std::string::npos;
+             at = received.find("HTTP/1.1 ", at + 1))
+            ++count;
+        return count;
+    }
+};
+
+// The caller side of a daemon, on a loop of its own, with callers.
+struct server_fixture
+{
+    gateway_context context{
+        test_settings(), plugin_registry<platform_dialect>::instance().make("fleet", "")};
+    network_address address{"127.0.0.1:" + std::to_string(harness::free_port())};
+    // What the daemon does with a request.
+    std::function<void(stream_id)> respond = [this](stream_id id)
+    { server.send_response(id, 200, "", "fine"); };
+    http_server server{context,
+                       [this](stream_id id, const http_head&, const std::string&)
+                       { respond(id); },
+                       [](stream_id) {}};
+
+    server_fixture() { server.listen(address); }
+
+    void set_limits(milliseconds idle_timeout, milliseconds header_timeout = seconds(10))
+    {
+        routing_table table;
+        table.limits.idle_timeout = idle_timeout;
+        table.limits.header_timeout = header_timeout;
+        context.routing = std::make_shared<const routing_table>(table);
+    }
+
+    void run_for(milliseconds duration)
+    {
+        const instant end = boot_clock::now() + duration;
+        context.loop.schedule(end, [] {});
+        context.loop.run([&] { return boot_clock::now() >= end; });
+    }
+
+    // Runs the action in a turn of the loop, after the sockets were read and before they
+    // are read again.
+    void act_after(milliseconds delay, const std::function<void()>& action)
+    {
+        bool done = false;
+        context.loop.schedule(boot_clock::now() + delay,
+                              [&]
+                              {
+                                  action();
+                                  done = true;
+                              });
+        context.loop.run([&] { return done; });
+    }
+
+    caller connect()
+    {
+        caller result{connect_to(address)};
+        run_for(milliseconds(5));
+        return result;
+    }
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(caller_connections)
+
+// Guards against a whole request that is dropped because its connection has been idle for
+// too long by what the daemon has read.
+BOOST_AUTO_TEST_CASE(
+    a_request_that_lies_unread_is_answered_on_a_connection_past_its_limit)
+{
+    server_fixture test;
+    test.set_limits(milliseconds(50));
+    caller idle = test.connect();
+    test.act_after(milliseconds(100),
+                   [&]
+                   {
+                       idle.send(request);
+                       test.server.close_idle(false);
+                   });
+    test.run_for(milliseconds(20));
+    idle.receive();
+    BOOST_TEST(!idle.was_reset);
+    BOOST_TEST(idle.responses() == 1U);
+}
+
+// Guards against a response that is cut short because its caller reads it slowly: its
+// connection counts as idle from the time at which the daemon has generated it.
+BOOST_AUTO_TEST_CASE(a_caller_that_still_reads_its_response_is_not_idle)
+{
+    // More than the buffers of two sockets hold.
+    constexpr std::size_t body_size = 32UL << 20U;
+    server_fixture test;
+    test.set_limits(milliseconds(50));
+    test.respond = [&](stream_id id)
+    { test.server.send_response(id, 200, "", std::string(body_size, 'x')); };
+    for (const bool all : {false, true})
+    {
+        caller slow = test.connect();
+        slow.send(request);
+        test.run_for(milliseconds(20));
+        test.act_after(milliseconds(100), [&] { test.server.close_idle(all); });
+        for (int turn = 0; turn < 500 && slow.received.size() < body_size; ++turn)
+        {
+            slow.receive();
+            test.run_for(milliseconds(1));
+        }
+        BOOST_TEST(slow.received.size() > body_size);
+    }
+}
+
+// Guards against a request whose fate is unclear because it crossed the end of its idle
+// connection: it isn't read after that end, which is an orderly one.
+BOOST_AUTO_TEST_CASE(a_request_that_crosses_the_end_of_its_connection_is_not_read)
+{
+    int handled = 0;
+    server_fixture test;
+    test.set_limits(milliseconds(50));
+    test.respond = [&](stream_id) { ++handled; };
+    caller idle = test.connect();
+    test.act_after(milliseconds(100),
+                   [&]
+                   {
+                       test.server.close_idle(false);
+                       idle.send(request);
+                   });
+    idle.receive();
+    BOOST_TEST(idle.ended);
+    BOOST_TEST(!idle.was_reset);
+    test.run_for(seconds(1));
+    BOOST_TEST(handled == 0);
+    BOOST_TEST(test.server.connections() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
