Judge an idle connection by the limit that its caller knows, and state it

Callers reuse a connection for up to four fifths of the idle limit, and see a change of it when they see it. A lowered limit closed at once all connections that had been idle for longer than the new one, so a request that was sent by the old one met a closed connection; a limit that was raised and lowered again did the same. Nothing told callers the limit that the daemon goes by.

A connection now keeps the highest limit that was configured since it became idle, and a new one holds from its next response on. Responses that leave their connection open state four fifths of the limit in Keep-Alive, in whole seconds, so that a request sent within the stated time arrives before the connection's end. A limit that leaves less than a second isn't stated, since zero would forbid reuse, and daemons aren't told, since they reuse connections to each other by a shorter time of their own.

Weighed: a delay before a lowered limit takes effect (how long callers take to see it isn't known); closing by the lower limit in order (the request still crosses the end).

--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/http/status.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -17,6 +18,9 @@
 constexpr int status_too_large = 413;
 constexpr int status_head_too_large = 431;
 constexpr double milliseconds_per_second = 1000;
+// Part of the idle limit that callers are told, so that a request that is sent within the
+// stated time arrives before the limit.
+constexpr int stated_idle_percent = 80;
 
 std::string seconds_text(milliseconds span)
 {
@@ -148,7 +152,14 @@
 
 std::string http_server::connection_fields(const caller_connection& connection) const
 {
-    return connection.keep_alive && !context_.leaving ? "" : "Connection: close\r\n";
+    if (!connection.keep_alive || context_.leaving)
+        return "Connection: close\r\n";
+    const seconds stated = std::chrono::floor<seconds>(configured_limits().idle_timeout *
+                                                       stated_idle_percent / 100);
+    // Zero would tell callers to close the connection at once.
+    if (connection.is_from_peer || stated.count() == 0)
+        return "";
+    return "Keep-Alive: timeout=" + std::to_string(stated.count()) + "\r\n";
 }
 
 void http_server::send_response(stream_id caller, int status, const std::string& fields,
@@ -257,11 +268,12 @@
     connection.request_in_progress = false;
     connection.request_started = false;
     connection.idle_since = context_.loop.now();
+    connection.idle_timeout = configured_limits().idle_timeout;
 }
 
 bool http_server::is_idle_too_long(const caller_connection& connection) const
 {
-    return context_.loop.now() - connection.idle_since > configured_limits().idle_timeout;
+    return context_.loop.now() - connection.idle_since > connection.idle_timeout;
 }
 
 void http_server::end_if_idle(stream_id id, bool all)
@@ -292,6 +304,8 @@
             slow.push_back({id});
         if (connection.request_started)
             continue;
+        connection.idle_timeout =
+            std::max(connection.idle_timeout, configured.idle_timeout);
         // A caller that still reads its last response hasn't become idle.
         if (context_.loop.pending_output({id}) > 0)
             connection.idle_since = context_.loop.now();
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -87,6 +87,8 @@
         // arrive, the time at which its first bytes arrived.
         instant idle_since;
         bool request_started = false;
+        // The longest idle time that was configured since the connection became idle.
+        milliseconds idle_timeout{};
         // The framing of the streamed response in progress.
         body_framing framing = body_framing::chunked;
     };
--- a/tests/contract/caller_connections_test.cpp
+++ b/tests/contract/caller_connections_test.cpp
@@ -134,6 +134,44 @@
     BOOST_TEST(idle.responses() == 1U);
 }
 
+// Guards against connections that are closed while their callers may still use them: the
+// idle limit was lowered, and a caller goes by the one that it knows.
+BOOST_AUTO_TEST_CASE(a_lowered_idle_limit_spares_connections_that_are_idle_already)
+{
+    server_fixture test;
+    test.set_limits(seconds(10));
+    caller before = test.connect();
+    test.set_limits(milliseconds(50));
+    caller after = test.connect();
+    test.act_after(milliseconds(100), [&] { test.server.close_idle(false); });
+    before.receive();
+    after.receive();
+    BOOST_TEST(!before.ended);
+    BOOST_TEST(after.ended);
+    // A response makes the connection idle anew, by the limit of that time.
+    before.send(request);
+    test.run_for(milliseconds(10));
+    test.act_after(milliseconds(100), [&] { test.server.close_idle(false); });
+    before.receive();
+    BOOST_TEST(before.responses() == 1U);
+    BOOST_TEST(before.ended);
+}
+
+// Guards against connections that are closed by the limit of the time at which they
+// became idle, while their callers go by a higher one that has come into force since.
+BOOST_AUTO_TEST_CASE(a_raised_idle_limit_holds_for_connections_that_are_idle_already)
+{
+    server_fixture test;
+    test.set_limits(milliseconds(50));
+    caller idle = test.connect();
+    test.set_limits(seconds(10));
+    test.act_after(milliseconds(100), [&] { test.server.close_idle(false); });
+    test.set_limits(milliseconds(50));
+    test.act_after(milliseconds(100), [&] { test.server.close_idle(false); });
+    idle.receive();
+    BOOST_TEST(!idle.ended);
+}
+
 // Guards against a response that is cut short because its caller reads it slowly: its
 // connection counts as idle from the time at which the daemon has generated it.
 BOOST_AUTO_TEST_CASE(a_caller_that_still_reads_its_response_is_not_idle)
@@ -182,4 +220,36 @@
     BOOST_TEST(test.server.connections() == 0U);
 }
 
+// Guards against callers that don't know how long they may use a connection: the stated
+// time leaves a fifth of the limit for the request's way.
+BOOST_AUTO_TEST_CASE(responses_state_how_long_their_connection_may_stay_idle)
+{
+    struct limit_case
+    {
+        milliseconds idle_timeout;
+        bool leaving;
+        std::string expected;
+        std::string unexpected;
+    };
+    const std::vector<limit_case> rows{
+        {seconds(15), false, "Keep-Alive: timeout=12\r\n", "Connection: close"},
+        {milliseconds(2400), false, "Keep-Alive: timeout=1\r\n", "Connection: close"},
+        {milliseconds(900), false, "Content-Length: 4", "Keep-Alive"},
+        {seconds(15), true, "Connection: close\r\n", "Keep-Alive"}};
+    for (const limit_case& row : rows)
+    {
+        server_fixture test;
+        test.set_limits(row.idle_timeout);
+        test.context.leaving = row.leaving;
+        caller reader = test.connect();
+        reader.send(request);
+        test.run_for(milliseconds(10));
+        reader.receive();
+        BOOST_TEST(reader.received.find(row.expected) != std::string::npos,
+                   reader.received);
+        BOOST_TEST(reader.received.find(row.unexpected) == std::string::npos,
+                   reader.received);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
