--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -2,12 +2,14 @@
 
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstring>
+#include <ctime>
 #include <stdexcept>
 
 namespace pollenhaven
@@ -26,6 +28,9 @@
 // Enough for a caller to read a response and close its side.
 constexpr milliseconds linger_time{500};
 constexpr int max_events_per_wait = 64;
+// Processor time for reading before timers that are due get their turn, once each stream
+// has been read. Processor time doesn't pass while the process is stopped.
+constexpr std::chrono::milliseconds max_reading_before_timers{20};
 // Upper bound of one wait, because signals are handled only between two waits.
 constexpr int max_wait_ms = 200;
 // A connection whose data stays unacknowledged for this long is closed. The time is long
@@ -46,6 +51,21 @@
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
 
+std::size_t unread_bytes(const file_descriptor& socket)
+{
+    int bytes = 0;
+    if (ioctl(socket.number(), FIONREAD, &bytes) != 0)
+        return 0;
+    return static_cast<std::size_t>(std::max(bytes, 0));
+}
+
+std::chrono::nanoseconds thread_processor_time()
+{
+    timespec used{};
+    clock_gettime(CLOCK_THREAD_CPUTIME_ID, &used);
+    return std::chrono::seconds(used.tv_sec) + std::chrono::nanoseconds(used.tv_nsec);
+}
+
 } // namespace
 
 event_loop::event_loop() : epoll_(epoll_create1(EPOLL_CLOEXEC)), now_(boot_clock::now())
@@ -261,6 +281,18 @@
     schedule_after(linger_time, [this, id] { close(id); });
 }
 
+void event_loop::end_unread(stream_id id)
+{
+    const auto found = streams_.find(id.value);
+    if (found == streams_.end())
+        return;
+    shutdown(found->second.socket.number(), SHUT_WR);
+    found->second.handlers = {};
+    found->second.ends_unread = true;
+    pause_reading(id);
+    schedule_after(linger_time, [this, id] { close(id); });
+}
+
 void event_loop::end_stream(stream_id id, stream_end end)
 {
     const auto found = streams_.find(id.value);
@@ -297,6 +329,17 @@
         readable(id);
 }
 
+void event_loop::read_arrived(stream_id id)
+{
+    const auto found = streams_.find(id.value);
+    if (found == streams_.end())
+        return;
+    const std::size_t reads =
+        (unread_bytes(found->second.socket) + read_bytes - 1) / read_bytes;
+    for (std::size_t read = 0; read < reads; ++read)
+        read_stream(id);
+}
+
 void event_loop::write_stream(stream_id id)
 {
     const auto found = streams_.find(id.value);
@@ -441,26 +484,64 @@
     if (listeners_.contains(tag))
         return accept_all(tag);
     const stream_id id{tag};
+    const auto found = streams_.find(tag);
+    // Both sides have ended: EPOLLHUP is reported even while reading is paused.
+    if (found != streams_.end() && found->second.ends_unread)
+        return close(id);
     if ((events & EPOLLOUT) != 0)
         write_stream(id);
     if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
         read_stream(id);
 }
 
+std::span<const epoll_event> event_loop::wait_for_events(std::span<epoll_event> events,
+                                                         int timeout_ms) const
+{
+    const int count = epoll_wait(epoll_.number(), events.data(),
+                                 static_cast<int>(events.size()), timeout_ms);
+    return events.first(static_cast<std::size_t>(std::max(count, 0)));
+}
+
+void event_loop::handle_events(std::span<const epoll_event> events)
+{
+    for (const epoll_event& event : events)
+        handle_event(event.data.u64, event.events);
+}
+
+// A wait that a signal interrupts reports no events, and a wait reports only some of
+// many, while the clock has gone on. epoll reports ready descriptors in turn, so as many
+// events as there are descriptors include each that was ready at `now_`.
+void event_loop::handle_arrived_events()
+{
+    const std::chrono::nanoseconds limit =
+        thread_processor_time() + max_reading_before_timers;
+    std::array<epoll_event, max_events_per_wait> buffer{};
+    std::size_t handled = 0;
+    while (handled <= streams_.size() + listeners_.size() ||
+           thread_processor_time() < limit)
+    {
+        const std::span<const epoll_event> events = wait_for_events(buffer, 0);
+        if (events.empty())
+            return;
+        handle_events(events);
+        handled += events.size();
+    }
+}
+
 void event_loop::run(const std::function<bool()>& finished)
 {
-    std::array<epoll_event, max_events_per_wait> events{};
+    std::array<epoll_event, max_events_per_wait> buffer{};
     while (!finished())
     {
         flush();
         const instant before_wait = boot_clock::now();
         statistics_.busy += before_wait - now_;
-        const int count = epoll_wait(epoll_.number(), events.data(), max_events_per_wait,
-                                     epoll_timeout_ms(before_wait));
+        const std::span<const epoll_event> events =
+            wait_for_events(buffer, epoll_timeout_ms(before_wait));
         now_ = boot_clock::now();
-        for (int at = 0; at < count; ++at)
-            handle_event(events[static_cast<std::size_t>(at)].data.u64,
-                         events[static_cast<std::size_t>(at)].events);
+        handle_events(events);
+        if (!timers_.empty() && timers_.begin()->first.first <= now_)
+            handle_arrived_events();
         run_timers();
     }
     flush();
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -8,12 +8,15 @@
 #include <functional>
 #include <map>
 #include <set>
+#include <span>
 #include <string>
 #include <string_view>
 #include <unordered_map>
 #include <utility>
 #include <vector>
 
+struct epoll_event;
+
 namespace pollenhaven
 {
 
@@ -75,6 +78,9 @@
     // bytes stay in the kernel and the peer has to wait.
     void pause_reading(stream_id id);
     void resume_reading(stream_id id);
+    // Reads what has arrived on the stream by now, with its handlers, rather than in the
+    // next iteration. Does nothing if the stream is closed.
+    void read_arrived(stream_id id);
     // Returns the number of bytes that were not passed to the kernel yet; 0 if the stream
     // is closed.
     std::size_t pending_output(stream_id id) const;
@@ -96,6 +102,12 @@
     // after set_reset_on_close() with a reset as soon as the output is written.
     void close_after_output(stream_id id);
 
+    // Ends the sending side of an idle stream now, and closes it once the peer has closed
+    // its side or has had time to. Nothing more is read: a message that crosses the end
+    // stays unread, and the reset that answers it tells its sender so. `ended` isn't
+    // called.
+    void end_unread(stream_id id);
+
     // Receives datagrams on an address. Throws std::runtime_error if the address can't be
     // bound.
     void listen_for_datagrams(const network_address& address,
@@ -104,7 +116,9 @@
     // lost. Throws std::runtime_error if `to` is malformed.
     void send_datagram(const network_address& to, std::string_view bytes);
 
-    // Calls `call` once, at or after the given time.
+    // Calls `call` once, at or after the given time. What had arrived at `now()` has been
+    // read before any timer that is due runs, so a timer may conclude from the lack of a
+    // message that its peer hasn't sent it.
     timer_id schedule(instant when, std::function<void()> call);
     timer_id schedule_after(milliseconds delay, std::function<void()> call);
     // Does nothing if the timer has already run or is 0.
@@ -129,6 +143,8 @@
         bool reading_paused = false;
         bool closes_after_output = false;
         bool resets_on_close = false;
+        // See end_unread().
+        bool ends_unread = false;
         bool flush_scheduled = false;
         bool has_written = false;
     };
@@ -149,6 +165,11 @@
     void run_timers();
     int epoll_timeout_ms(instant now) const;
     void handle_event(std::uint64_t tag, std::uint32_t events);
+    // Waits for events and returns the first of them, at most as many as `events` holds.
+    std::span<const epoll_event> wait_for_events(std::span<epoll_event> events,
+                                                 int timeout_ms) const;
+    void handle_events(std::span<const epoll_event> events);
+    void handle_arrived_events();
 
     struct listener
     {
