Read no further from a caller than 64 KB while its request is in progress

A process above its limit is killed, so one caller could end all requests in progress.

Cause: the server parses no further request before the response is complete, but the event loop read on and appended to the stream's input without a bound.

Now reading is paused once 64 KB of later requests are held, and goes on when the next request is parsed. While it is paused, the stream is watched for the peer's close or reset, so that the endpoint of a caller that has left is still released at once. A connection that is being closed after its response reads and discards what still arrives.

Ruled out: reading on and discarding, which loses pipelined requests and costs processor time at the caller's speed. A close that lies behind more than the kernel's buffer holds isn't seen before something is written to the caller or the request ends.

--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -171,18 +171,21 @@
 void event_loop::update_poll_events(stream_id id)
 {
     const stream& target = streams_.at(id.value);
+    const std::uint32_t while_paused =
+        target.ends_while_paused ? std::uint32_t{EPOLLRDHUP} : std::uint32_t{0};
     const std::uint32_t events =
-        (target.reading_paused ? std::uint32_t{0} : std::uint32_t{EPOLLIN}) |
+        (target.reading_paused ? while_paused : std::uint32_t{EPOLLIN}) |
         (target.waiting_for_writable ? std::uint32_t{EPOLLOUT} : std::uint32_t{0});
     set_poll_events(target.socket.number(), id.value, events, EPOLL_CTL_MOD);
 }
 
-void event_loop::set_reading_paused(stream_id id, bool paused)
+void event_loop::set_reading_paused(stream_id id, bool paused, bool ends_while_paused)
 {
     const auto found = streams_.find(id.value);
     if (found == streams_.end() || found->second.reading_paused == paused)
         return;
     found->second.reading_paused = paused;
+    found->second.ends_while_paused = ends_while_paused;
     update_poll_events(id);
 }
 
@@ -191,6 +194,11 @@
     set_reading_paused(id, true);
 }
 
+void event_loop::pause_reading_while_open(stream_id id)
+{
+    set_reading_paused(id, true, true);
+}
+
 void event_loop::resume_reading(stream_id id)
 {
     set_reading_paused(id, false);
@@ -238,6 +246,8 @@
     if (found == streams_.end())
         return;
     found->second.closes_after_output = true;
+    found->second.discards_input = true;
+    resume_reading(id);
     if (!found->second.flush_scheduled)
         flush_queue_.push_back(id);
     found->second.flush_scheduled = true;
@@ -252,12 +262,6 @@
     shutdown(target.socket.number(), SHUT_WR);
     target.handlers = {};
     target.closes_after_output = false;
-    target.handlers.readable = [this](stream_id from)
-    {
-        std::string& input = streams_.at(from.value).input;
-        input.clear();
-        input.shrink_to_fit();
-    };
     schedule_after(linger_time, [this, id] { close(id); });
 }
 
@@ -284,6 +288,12 @@
     const ssize_t count =
         recv(source.socket.number(), source.input.data() + before, read_bytes, 0);
     source.input.resize(before + static_cast<std::size_t>(std::max<ssize_t>(count, 0)));
+    if (count > 0 && source.discards_input)
+    {
+        source.input.clear();
+        source.input.shrink_to_fit();
+        return;
+    }
     if (count == 0)
         return end_stream(id, stream_end::finished);
     if (count < 0)
@@ -443,6 +453,12 @@
     const stream_id id{tag};
     if ((events & EPOLLOUT) != 0)
         write_stream(id);
+    const auto found = streams_.find(tag);
+    if (found != streams_.end() && found->second.ends_while_paused &&
+        (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
+        return end_stream(id, (events & (EPOLLHUP | EPOLLERR)) != 0
+                                  ? stream_end::failed
+                                  : stream_end::finished);
     if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
         read_stream(id);
 }
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -74,6 +74,9 @@
     // Stops reading from the stream until resume_reading() is called, so that the peer's
     // bytes stay in the kernel and the peer has to wait.
     void pause_reading(stream_id id);
+    // As pause_reading(), but the stream ends as soon as its peer has closed its side or
+    // reset the connection, although bytes that the peer sent before are unread.
+    void pause_reading_while_open(stream_id id);
     void resume_reading(stream_id id);
     // Returns the number of bytes that were not passed to the kernel yet; 0 if the stream
     // is closed.
@@ -93,7 +96,8 @@
     // this process among them, so that the peer can't take it for the end of a message.
     void set_reset_on_close(stream_id id, bool resets);
     // Closes the stream once its output is written and the peer has had time to read it;
-    // after set_reset_on_close() with a reset as soon as the output is written.
+    // after set_reset_on_close() with a reset as soon as the output is written. Input is
+    // discarded from now on.
     void close_after_output(stream_id id);
 
     // Receives datagrams on an address. Throws std::runtime_error if the address can't be
@@ -127,7 +131,10 @@
         std::size_t written = 0;
         bool waiting_for_writable = false;
         bool reading_paused = false;
+        // While reading is paused, the stream ends once the peer has closed its side.
+        bool ends_while_paused = false;
         bool closes_after_output = false;
+        bool discards_input = false;
         bool resets_on_close = false;
         bool flush_scheduled = false;
         bool has_written = false;
@@ -138,7 +145,7 @@
     void set_poll_events(int descriptor, std::uint64_t tag, std::uint32_t events,
                          int operation);
     void update_poll_events(stream_id id);
-    void set_reading_paused(stream_id id, bool paused);
+    void set_reading_paused(stream_id id, bool paused, bool ends_while_paused = false);
     void accept_all(std::uint64_t tag);
     void read_stream(stream_id id);
     void write_stream(stream_id id);
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -17,6 +17,9 @@
 constexpr int status_too_large = 413;
 constexpr int status_head_too_large = 431;
 constexpr double milliseconds_per_second = 1000;
+// Bytes of later requests that are read while a request is in progress. The rest stays
+// in the kernel, whose window makes the caller wait.
+constexpr std::size_t max_read_ahead_bytes = 65536;
 
 std::string seconds_text(milliseconds span)
 {
@@ -86,9 +89,16 @@
 void http_server::on_readable(stream_id id)
 {
     const auto found = connections_.find(id.value);
-    // The next request isn't read before the response to the current one is complete.
-    if (found == connections_.end() || found->second.request_in_progress)
+    if (found == connections_.end())
+        return;
+    // The next request isn't parsed before the response to the current one is complete.
+    if (found->second.request_in_progress)
+    {
+        if (context_.loop.input(id).size() >= max_read_ahead_bytes)
+            context_.loop.pause_reading_while_open(id);
         return;
+    }
+    context_.loop.resume_reading(id);
     if (!found->second.request_started)
         found->second.idle_since = context_.loop.now();
     found->second.request_started = true;
--- /dev/null
+++ b/tests/contract/caller_limits_test.cpp
@@ -0,0 +1,116 @@
+// Callers that send more than a daemon can hold, and callers that leave meanwhile.
+
+#include "tests/contract/flow_fixture.hpp"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace pollenhaven;
+using namespace pollenhaven::contract;
+
+namespace
+{
+
+constexpr std::size_t kilobyte = 1024;
+constexpr std::size_t megabyte = 1024 * kilobyte;
+// After its caller has left, an endpoint is released within this time (GONE).
+constexpr milliseconds release_time{500};
+
+std::string post_request(const std::string& path, std::size_t body_bytes = 0)
+{
+    return "POST " + path +
+           " HTTP/1.1\r\nHost: h\r\nX-Pollenhaven-Request-Id: id-1\r\n"
+           "Content-Length: " +
+           std::to_string(body_bytes) + "\r\n\r\n" + std::string(body_bytes, 'x');
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_SUITE(caller_limits)
+
+// Guards against a daemon whose memory is filled by one caller that sends on while its
+// request is in progress.
+BOOST_AUTO_TEST_CASE(a_caller_is_read_no_further_while_its_request_is_in_progress)
+{
+    constexpr std::size_t sent_bytes = 64 * megabyte;
+    // What the daemon holds of it and the kernel's buffers on both sides.
+    constexpr std::size_t max_accepted_bytes = 16 * megabyte;
+    flow_fixture test;
+    test.add_endpoint("i-1", "assistant", test.first);
+    test.first.scripts = {{stream_head + chunk("id: 1\ndata: a\n\n")}};
+    const stream_id caller = test.connect();
+    test.context.loop.send(caller, post_request("/chat/1"));
+    test.run_until([&] { return contains(test.received, "data: a"); }, seconds(1));
+    BOOST_REQUIRE(contains(test.received, "data: a"));
+    test.context.loop.send(caller, std::string(sent_bytes, 'x'));
+    test.run_until([&] { return test.context.loop.pending_output(caller) == 0; },
+                   seconds(1));
+    BOOST_TEST(sent_bytes - test.context.loop.pending_output(caller) <
+               max_accepted_bytes);
+    BOOST_TEST(test.flow.requests_in_flight() == 1U);
+}
+
+// Guards against pipelined requests that are lost or stay unread because they were more
+// than the daemon reads while a request is in progress.
+BOOST_AUTO_TEST_CASE(pipelined_requests_are_answered_after_reading_was_paused)
+{
+    constexpr int pipelined_requests = 40;
+    constexpr std::size_t body_bytes = 32 * kilobyte;
+    flow_fixture test;
+    test.add_endpoint("i-1", "plain", test.first);
+    test.first.scripts = {{""}, {ok_response}};
+    const stream_id caller = test.connect();
+    test.context.loop.send(caller, post_request("/once/1"));
+    test.run_until([&] { return test.first.requests.size() == 1; }, seconds(1));
+    for (int request = 0; request < pipelined_requests; ++request)
+        test.context.loop.send(caller, post_request("/once/2", body_bytes));
+    test.run_until([] { return false; }, milliseconds(100));
+    test.context.loop.send(test.first.accepted.at(0),
+                           replaced(ok_response, "ID", "id-1"));
+    const auto answers = [&]
+    {
+        std::size_t count = 0;
+        for (std::size_t at = test.received.find("fine"); at != std::string::npos;
+             at = test.received.find("fine", at + 1))
+            ++count;
+        return count;
+    };
+    test.run_until([&] { return answers() == pipelined_requests + 1; }, seconds(3));
+    BOOST_TEST(answers() == pipelined_requests + 1U);
+}
+
+// Guards against an endpoint that works on for a caller that has left, because the
+// caller's close lies behind bytes that the daemon doesn't read (GONE).
+BOOST_AUTO_TEST_CASE(a_caller_that_left_is_noticed_behind_unread_bytes)
+{
+    for (const std::size_t pipelined_bytes : {1 * kilobyte, 66 * kilobyte, 96 * kilobyte})
+        for (const bool resets : {false, true})
+        {
+            BOOST_TEST_CONTEXT(pipelined_bytes << " bytes, " << resets)
+            {
+                flow_fixture test;
+                test.add_endpoint("i-1", "plain", test.first);
+                test.first.scripts = {{""}};
+                const stream_id caller = test.connect();
+                test.context.loop.send(caller, post_request("/once/1"));
+                test.run_until([&] { return test.first.requests.size() == 1; },
+                               seconds(1));
+                test.context.loop.send(caller, std::string(pipelined_bytes, 'x'));
+                test.run_until([&]
+                               { return test.context.loop.pending_output(caller) == 0; },
+                               seconds(1));
+                test.run_until([] { return false; }, milliseconds(50));
+                BOOST_TEST(test.context.loop.pending_output(caller) == 0U);
+                BOOST_TEST(test.flow.requests_in_flight() == 1U);
+                if (resets)
+                    test.context.loop.reset(caller);
+                else
+                    test.context.loop.close(caller);
+                test.run_until([&] { return test.first.closed_by_daemon == 1; },
+                               release_time);
+                BOOST_TEST(test.first.closed_by_daemon == 1);
+                BOOST_TEST(test.flow.requests_in_flight() == 0U);
+            }
+        }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
