Bound the bytes that the requests of all callers hold together

Each caller could hold a head of 16 KB and a body of 4 MB for up to 3 s while it arrives, and for as long as it is in progress after that. Nothing bounded the sum: 100 callers that sent 3.9 MB each of a 4 MB body made the daemon hold 402 MB, and the process of an instance is killed at 160 to 260 MB, with all requests in progress.

Now the server counts what each connection holds of its current request, from the first byte to the end of the response, and of what follows it. Above 16 MB together, incomplete requests are refused, the largest first, then a request that has just become complete: 503, not run, Retry-After 1 s, with a log line. Requests of up to 64 KB have another 8 MB, so that large ones can't crowd them out. One request that the configuration allows always fits. 16 MB, because a request may be held about four times while it is passed on, and the smallest instance has 160 MB.

Weighed: 413, which callers don't repeat, and a limit on connections, which says nothing about bytes.

--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -3,6 +3,7 @@
 #include <boost/beast/http/status.hpp>
 #include <nlohmann/json.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cstdio>
 
@@ -16,10 +17,21 @@
 constexpr int status_timeout = 408;
 constexpr int status_too_large = 413;
 constexpr int status_head_too_large = 431;
+constexpr int status_unavailable = 503;
 constexpr double milliseconds_per_second = 1000;
 // Bytes of later requests that are read while a request is in progress. The rest stays
 // in the kernel, whose window makes the caller wait.
 constexpr std::size_t max_read_ahead_bytes = 65536;
+// Bytes that the requests of all connections may hold, complete or not. The daemon may
+// hold a request four times while it is passed on: parsed and encoded, each in a buffer
+// with room for twice as much.
+constexpr std::size_t max_held_bytes = 16UL << 20U;
+// As many bytes more are for small requests only, so that large ones can't crowd them
+// out.
+constexpr std::size_t max_small_request_bytes = 65536;
+constexpr std::size_t reserved_for_small_requests = 8UL << 20U;
+// Most requests that hold the memory have ended after this time.
+constexpr milliseconds memory_retry_delay{1000};
 
 std::string seconds_text(milliseconds span)
 {
@@ -79,7 +91,8 @@
     connections_.emplace(
         id.value,
         caller_connection{http_reader(http_reader::message_kind::request, limits()),
-                          is_from_peer, false, true, context_.loop.now(), false});
+                          counted_bytes(held_bytes_), 0, 0, is_from_peer, false, true,
+                          context_.loop.now(), false});
     stream_handlers handlers;
     handlers.readable = [this](stream_id readable) { on_readable(readable); };
     handlers.ended = [this](stream_id ended, stream_end) { on_ended(ended); };
@@ -92,33 +105,105 @@
     if (found == connections_.end())
         return;
     // The next request isn't parsed before the response to the current one is complete.
-    if (found->second.request_in_progress)
+    caller_connection& connection = found->second;
+    count_held_bytes(id);
+    if (connection.request_in_progress)
     {
-        if (context_.loop.input(id).size() >= max_read_ahead_bytes)
+        if (context_.loop.input(id).size() >= max_read_ahead_bytes || is_over_limit(0))
             context_.loop.pause_reading_while_open(id);
         return;
     }
     context_.loop.resume_reading(id);
-    if (!found->second.request_started)
-        found->second.idle_since = context_.loop.now();
-    found->second.request_started = true;
+    if (!connection.request_started)
+        connection.idle_since = context_.loop.now();
+    connection.request_started = true;
     read_next(id);
 }
 
+read_state http_server::parse(stream_id id)
+{
+    caller_connection& connection = connections_.at(id.value);
+    std::string& input = context_.loop.input(id);
+    const bool had_head = connection.reader.has_head();
+    const std::size_t unparsed_bytes = input.size();
+    const read_state state = connection.reader.read(input);
+    connection.body_bytes = connection.reader.body.size();
+    if (!had_head && connection.reader.has_head())
+        connection.head_bytes = unparsed_bytes - input.size() - connection.body_bytes;
+    count_held_bytes(id);
+    return state;
+}
+
+void http_server::count_held_bytes(stream_id id)
+{
+    caller_connection& connection = connections_.at(id.value);
+    connection.held_bytes.set(connection.head_bytes + connection.body_bytes +
+                              context_.loop.input(id).size());
+}
+
 void http_server::read_next(stream_id id)
 {
     caller_connection& connection = connections_.at(id.value);
-    const read_state state = connection.reader.read(context_.loop.input(id));
+    const read_state state = parse(id);
     if (state == read_state::partial)
-        return;
+        return refuse_largest_incomplete();
     if (state == read_state::malformed)
         return refuse_malformed(id, connection.reader);
     connection.request_in_progress = true;
+    refuse_largest_incomplete();
+    if (is_over_limit(connection.held_bytes.value()))
+        return refuse_for_memory(id);
     const http_head head = connection.reader.head();
     connection.keep_alive = head.keep_alive;
     on_request_(id, head, std::move(connection.reader.body));
 }
 
+bool http_server::is_over_limit(std::size_t own_bytes) const
+{
+    // One request that the configuration allows always fits.
+    const message_limits allowed = limits();
+    const std::size_t limit =
+        std::max(max_held_bytes, allowed.body_bytes + 2 * allowed.head_bytes);
+    const bool is_small = own_bytes <= max_small_request_bytes;
+    return held_bytes_ > limit + (is_small ? reserved_for_small_requests : 0);
+}
+
+void http_server::refuse_largest_incomplete()
+{
+    while (is_over_limit(max_small_request_bytes + 1))
+    {
+        std::uint64_t largest = 0;
+        std::size_t largest_bytes = 0;
+        for (const auto& [id, connection] : connections_)
+            if (!connection.request_in_progress &&
+                connection.held_bytes.value() > largest_bytes)
+            {
+                largest = id;
+                largest_bytes = connection.held_bytes.value();
+            }
+        if (largest == 0 || !is_over_limit(largest_bytes))
+            return;
+        refuse_for_memory({largest});
+    }
+}
+
+void http_server::refuse_for_memory(stream_id id)
+{
+    caller_connection& connection = connections_.at(id.value);
+    context_.log.write(
+        "request refused unread",
+        {{"reason", "request_bytes"},
+         {"bytes", static_cast<std::int64_t>(connection.held_bytes.value())},
+         {"bytes_of_all", static_cast<std::int64_t>(held_bytes_)}});
+    connection.request_in_progress = true;
+    connection.keep_alive = false;
+    failure reason =
+        not_run_failure(status_unavailable, "request_bytes",
+                        "the daemon holds as many bytes of requests as it may");
+    reason.retry_after = memory_retry_delay;
+    send_error(id, reason);
+}
+
 void http_server::refuse_malformed(stream_id id, const http_reader& reader)
 {
     caller_connection& connection = connections_.at(id.value);
@@ -247,6 +332,9 @@
     connection.request_in_progress = false;
     connection.idle_since = context_.loop.now();
     connection.request_started = false;
+    connection.head_bytes = 0;
+    connection.body_bytes = 0;
+    count_held_bytes(id);
     connection.reader = http_reader(http_reader::message_kind::request, limits());
     if (context_.loop.input(id).empty())
         return;
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -2,6 +2,7 @@
 #define POLLENHAVEN_SERVERS_GATEWAY_HTTP_SERVER_HPP
 
 #include "core/verdict.hpp"
+#include "servers/gateway/counted_bytes.hpp"
 #include "servers/gateway/gateway_context.hpp"
 #include "servers/gateway/http_reader.hpp"
 
@@ -77,6 +78,13 @@
     struct caller_connection
     {
         http_reader reader;
+        // The bytes of the current request, of a part of it or of what follows it, that
+        // the daemon holds.
+        counted_bytes held_bytes;
+        // The size of the head and of the part of the body that were parsed of the
+        // current request.
+        std::size_t head_bytes = 0;
+        std::size_t body_bytes = 0;
         bool is_from_peer = false;
         // True from the time at which a request is complete to the end of its response.
         bool request_in_progress = false;
@@ -93,6 +101,14 @@
     void on_readable(stream_id id);
     void on_ended(stream_id id);
     void read_next(stream_id id);
+    read_state parse(stream_id id);
+    void count_held_bytes(stream_id id);
+    // Returns true if all connections together hold too much for one of this size.
+    bool is_over_limit(std::size_t own_bytes) const;
+    // Refuses incomplete requests, the largest first, until the daemon holds no more than
+    // it may.
+    void refuse_largest_incomplete();
+    void refuse_for_memory(stream_id id);
     void refuse_malformed(stream_id id, const http_reader& reader);
     void finish_response(stream_id id);
     std::string status_line(int status) const;
@@ -102,6 +118,8 @@
     gateway_context& context_;
     request_handler on_request_;
     disconnect_handler on_disconnect_;
+    // The bytes that all connections hold.
+    std::size_t held_bytes_ = 0;
     std::unordered_map<std::uint64_t, caller_connection> connections_;
 };
 
--- a/tests/contract/caller_limits_test.cpp
+++ b/tests/contract/caller_limits_test.cpp
@@ -113,4 +113,34 @@
         }
 }
 
+// Guards against a daemon whose memory is filled by large requests that wait for their
+// endpoints, and against small requests that are refused because of them.
+BOOST_AUTO_TEST_CASE(large_requests_in_progress_are_bounded_and_small_ones_served)
+{
+    constexpr std::size_t callers = 20;
+    constexpr std::size_t body_bytes = 3 * megabyte;
+    // The smallest instance has 160 MB, and a request may be held four times.
+    constexpr std::size_t max_total_bytes = 160 * megabyte / 4;
+    flow_fixture test;
+    test.add_endpoint("i-1", "plain", test.first);
+    test.add_endpoint("i-2", "assistant", test.second);
+    test.first.scripts = {{""}};
+    test.second.scripts = {{stream_head + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"}};
+    test.context.fleet.endpoints.at({"i-1"}).record.slots = callers;
+    for (std::size_t caller = 0; caller < callers; ++caller)
+        test.context.loop.send(test.connect(), post_request("/once/1", body_bytes));
+    const auto refused = [&] { return contains(test.received, "request_bytes"); };
+    test.run_until([&] { return test.flow.requests_in_flight() == callers; },
+                   milliseconds(1000));
+    BOOST_TEST(test.flow.requests_in_flight() * body_bytes <= max_total_bytes);
+    BOOST_TEST(refused());
+    BOOST_TEST(contains(test.received, "HTTP/1.1 503"));
+    BOOST_TEST(contains(test.received, "X-Verdict: not_run"));
+    BOOST_TEST(contains(test.received, "Retry-After: "));
+    const stream_id small = test.connect();
+    test.context.loop.send(small, post_request("/chat/1"));
+    test.run_until([&] { return contains(test.received, "data: a"); }, milliseconds(300));
+    BOOST_TEST(contains(test.received, "data: a"));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
