Bound the nesting of JSON from outside, which ended each daemon that read it

Callers saw their connections break: an entry of another writer whose `models` or `pending` is a list nested 300,000 deep ended every daemon with signal 11, and again at each start, since the entry stays in the store. One caller could do the same with a body: the fingerprint of its content writes the parsed value.

Cause: the library parses without recursion, but copies and writes a value recursively, so nesting that another process chooses exhausts the stack. The parser of MessagePack recurses as well.

Now one function, core/json_text, parses all JSON and MessagePack from outside: store responses, entries, records, claims, reports, configuration, bodies of callers and messages of peers. It builds the value from the parser's events and stops the parser at 100 levels, so no deeper value exists. Such an entry is a logged error like any other that can't be read, and the others hold. A body that is nested deeper is fingerprinted as plain text; through the OpenAI interface it is refused as invalid.

Ruled out: a bound on the size of an entry, since 300 KB of brackets are smaller than a legitimate page. A scan of the text before the library's parser would need a second one for MessagePack.

--- a/modules/openai_callers/openai_callers.cpp
+++ b/modules/openai_callers/openai_callers.cpp
@@ -1,10 +1,9 @@
 #include "modules/openai_callers/openai_callers.hpp"
 
+#include "core/json_text.hpp"
 #include "core/random_id.hpp"
 #include "core/verdict.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <array>
 #include <charconv>
@@ -156,7 +155,7 @@
 
 void read_completion(caller_request& request, const std::string& body, bool chat)
 {
-    const json parsed = json::parse(body, nullptr, false);
+    const json parsed = parse_json_or_null(body);
     if (!parsed.is_object())
         reject_request("invalid_request", "the body is not a JSON object");
     read_model(request, parsed);
--- a/policy/call_claim.cpp
+++ b/policy/call_claim.cpp
@@ -1,9 +1,8 @@
 #include "policy/call_claim.hpp"
 
+#include "core/json_text.hpp"
 #include "policy/crash_history.hpp"
 
-#include <nlohmann/json.hpp>
-
 namespace pollenhaven
 {
 
@@ -38,7 +37,7 @@
 
 claim_record decode_claim(const std::string& text)
 {
-    const nlohmann::json object = nlohmann::json::parse(text, nullptr, false);
+    const nlohmann::json object = parse_json_or_null(text);
     if (!object.is_object())
         return {};
     try
--- a/policy/crash_history.cpp
+++ b/policy/crash_history.cpp
@@ -1,6 +1,7 @@
 #include "policy/crash_history.hpp"
 
-#include <nlohmann/json.hpp>
+#include "core/json_text.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -22,7 +23,7 @@
 
 std::string canonical_text(const std::string& body)
 {
-    nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
+    nlohmann::json parsed = parse_json_or_null(body);
     if (!parsed.is_object())
         return body;
     remove_volatile_fields(parsed);
--- a/servers/gateway/base_versions.cpp
+++ b/servers/gateway/base_versions.cpp
@@ -1,6 +1,6 @@
 #include "servers/gateway/base_versions.hpp"
 
-#include <nlohmann/json.hpp>
+#include "core/json_text.hpp"
 
 #include <utility>
 
@@ -18,7 +18,7 @@
 
 std::optional<software_version> decode_software_version(const std::string& value)
 {
-    const nlohmann::json entry = nlohmann::json::parse(value, nullptr, false);
+    const nlohmann::json entry = parse_json_or_null(value);
     if (!entry.is_object() || !entry.contains("version") || !entry["version"].is_string())
         return std::nullopt;
     return software_version{entry["version"].get<std::string>()};
--- a/servers/gateway/block_records.cpp
+++ b/servers/gateway/block_records.cpp
@@ -1,9 +1,8 @@
 #include "servers/gateway/block_records.hpp"
 
+#include "core/json_text.hpp"
 #include "policy/crash_history.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <set>
 #include <utility>
 
@@ -54,7 +53,7 @@
     }
     try
     {
-        const nlohmann::json record = nlohmann::json::parse(item.value);
+        const nlohmann::json record = parse_json_or_null(item.value);
         const prompt_part_id part{record.at("part").get<std::string>()};
         const int trials = record.at("trials").get<int>();
         const milliseconds next_trial_at{record.at("next_trial_at_ms").get<long long>()};
--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -1,6 +1,6 @@
 #include "servers/gateway/fleet_membership.hpp"
 
-#include <nlohmann/json.hpp>
+#include "core/json_text.hpp"
 
 namespace pollenhaven
 {
@@ -44,7 +44,7 @@
 
 std::optional<holder_record> decode_holder(const store_item& item)
 {
-    const nlohmann::json entry = nlohmann::json::parse(item.value, nullptr, false);
+    const nlohmann::json entry = parse_json_or_null(item.value);
     holder_record result;
     result.daemon = {string_field(entry, "daemon")};
     result.incarnation = {string_field(entry, "incarnation")};
@@ -374,7 +374,7 @@
         context_.log.write("member gone", {{"member", id.value}});
         return;
     }
-    const nlohmann::json entry = nlohmann::json::parse(item.value, nullptr, false);
+    const nlohmann::json entry = parse_json_or_null(item.value);
     const network_address callers{string_field(entry, "callers")};
     const network_address peers{string_field(entry, "peers")};
     try
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -1,6 +1,6 @@
 #include "servers/gateway/fleet_messages.hpp"
 
-#include <nlohmann/json.hpp>
+#include "core/json_text.hpp"
 
 #include <cmath>
 #include <stdexcept>
@@ -490,8 +490,8 @@
 
 fleet_message decode(std::string_view bytes)
 {
-    const json body = json::from_msgpack(bytes, true, false);
-    if (body.is_discarded() || !body.is_object())
+    const json body = parse_message_pack(bytes);
+    if (!body.is_object())
         throw std::runtime_error("the message is not a MessagePack map");
     try
     {
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -127,6 +127,41 @@
     BOOST_TEST(deployment.all_ready());
 }
 
+// Guards against one deeply nested entry of another writer that ends each daemon that
+// reads it, also after each start.
+BOOST_AUTO_TEST_CASE(daemons_run_and_start_beside_a_deeply_nested_entry)
+{
+    fleet deployment;
+    const std::string deep_list = std::string(300'000, '[') + std::string(300'000, ']');
+    deployment.put_store_item(
+        "servers/i-deep",
+        R"({"service":"orders","addr":"127.0.0.1:9","state":"ready","models":)" +
+            deep_list + "}");
+    std::this_thread::sleep_for(milliseconds(2000));
+    for (int daemon = 0; daemon < 3; ++daemon)
+        BOOST_TEST(deployment.daemon(daemon).running());
+    deployment.start_daemon(0);
+    BOOST_TEST(fleet::wait_for([&] { return deployment.all_ready(); }, seconds(5)));
+    std::this_thread::sleep_for(milliseconds(2000));
+    for (int request = 0; request < 6; ++request)
+        BOOST_TEST(
+            deployment
+                .send_platform_request(request % 3, "plain-" + std::to_string(request))
+                .status == 200);
+    for (int daemon = 0; daemon < 3; ++daemon)
+        BOOST_TEST(deployment.daemon(daemon).running());
+}
+
+// Guards against a caller who ends a daemon with a deeply nested body.
+BOOST_AUTO_TEST_CASE(a_daemon_keeps_running_after_a_deeply_nested_body)
+{
+    fleet deployment;
+    const std::string deep_list = std::string(300'000, '[') + std::string(300'000, ']');
+    deployment.send_booking_request(0, "key-1", R"({"parts":)" + deep_list + "}");
+    BOOST_TEST(deployment.daemon(0).running());
+    BOOST_TEST(deployment.send_openai_chat(0, "base/a1", "hello", 5).status == 200);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_engine_gets_no_requests_after_two_seconds)
 {
     const fleet deployment;
