Check each number from outside before it is converted

Callers would see requests sent to an endpoint whose entry says that it has 1e300 places, a stream cut by a time that wrapped around, or, on another processor, something else: entries with `slots` 1e300 or -1, `remainingMs` 1e300, `seq` 1e300 and an adapter's version of 23 digits were accepted without a word.

Cause: numbers were cast without a check. A cast of a floating-point number that doesn't fit is undefined: arm64 takes the largest value, x86-64 the lowest.

Now core/json_text holds the one conversion: an integer, a count, a number or a time within bounds that have names. A fraction is refused where integers are meant and dropped in a time. A claim whose status can't end a response is no answer.

Compatibility: what daemons send each other is unchanged. Times and loads in their messages may still be negative, as a build before could send them; only what doesn't fit is refused. Ruled out: clamping entries, because an entry with such a number comes from another writer and names no endpoint to use.

--- a/core/json_text.cpp
+++ b/core/json_text.cpp
@@ -1,5 +1,7 @@
 #include "core/json_text.hpp"
 
+#include <cmath>
+#include <optional>
 #include <string>
 #include <utility>
 #include <vector>
@@ -93,6 +95,39 @@
     std::string error_;
 };
 
+std::string to_text(double number)
+{
+    return json(number).dump();
+}
+
+[[noreturn]] void throw_out_of_range(const json& value, const std::string& expected,
+                                     const std::string& least,
+                                     const std::string& greatest)
+{
+    const std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
+    throw json_error(text.substr(0, max_error_bytes) + " is not " + expected + " from " +
+                     least + " to " + greatest);
+}
+
+// The value as an integer, if it is one that 64 bits hold.
+std::optional<std::int64_t> integer_of(const json& value)
+{
+    if (value.is_number_float())
+    {
+        constexpr double exact = static_cast<double>(max_exact_integer);
+        const double number = value.get<double>();
+        if (!(number >= -exact && number <= exact) || number != std::trunc(number))
+            return std::nullopt;
+        return static_cast<std::int64_t>(number);
+    }
+    const bool is_too_large =
+        value.is_number_unsigned() &&
+        value.get<std::uint64_t>() > std::numeric_limits<std::int64_t>::max();
+    if (!value.is_number_integer() || is_too_large)
+        return std::nullopt;
+    return value.get<std::int64_t>();
+}
+
 json parse(std::string_view bytes, json::input_format_t format)
 {
     bounded_builder builder;
@@ -125,4 +160,33 @@
     }
 }
 
+double checked_number(const json& value, double least, double greatest)
+{
+    // The comparison is false for a number that isn't finite.
+    if (value.is_number() && value.get<double>() >= least &&
+        value.get<double>() <= greatest)
+        return value.get<double>();
+    throw_out_of_range(value, "a number", to_text(least), to_text(greatest));
+}
+
+std::int64_t checked_integer(const json& value, std::int64_t least, std::int64_t greatest)
+{
+    const std::optional<std::int64_t> number = integer_of(value);
+    if (number && *number >= least && *number <= greatest)
+        return *number;
+    throw_out_of_range(value, "an integer", std::to_string(least),
+                       std::to_string(greatest));
+}
+
+int checked_count(const json& value)
+{
+    return static_cast<int>(checked_integer(value, 0, max_count));
+}
+
+milliseconds checked_duration(const json& value)
+{
+    return milliseconds(static_cast<std::int64_t>(
+        checked_number(value, 0, static_cast<double>(max_duration.count()))));
+}
+
 } // namespace pollenhaven
--- a/policy/call_claim.cpp
+++ b/policy/call_claim.cpp
@@ -12,6 +12,8 @@
 constexpr int status_conflict = 409;
 constexpr int status_unprocessable = 422;
 constexpr int status_unavailable = 503;
+constexpr int first_final_status = 200;
+constexpr int last_status = 599;
 constexpr milliseconds outage_retry_after{2000};
 constexpr milliseconds in_doubt_retry_after{1000};
 // Responses with a longer body are not stored. A retry of such a call fails with
@@ -20,6 +22,12 @@
 // The store's limit on entries in one transaction, conditions and changes together.
 constexpr std::size_t max_transaction_entries = 32;
 
+// Whether a response can end with the status.
+bool is_final_status(int status)
+{
+    return status >= first_final_status && status <= last_status;
+}
+
 } // namespace
 
 std::string encode_claim(const claim_record& record)
@@ -47,8 +55,12 @@
             object.value("done", false) ? claim_state::done : claim_state::claimed;
         record.attempt = object.value("attempt", "");
         record.fingerprint = object.value("fingerprint", "");
-        record.claimed_at = milliseconds(object.value("claimed_ms", 0LL));
-        record.status = object.value("status", 0);
+        if (object.contains("claimed_ms"))
+            record.claimed_at =
+                milliseconds(checked_integer(object["claimed_ms"], 0, max_exact_integer));
+        record.status = object.contains("status") ? checked_count(object["status"]) : 0;
+        if (record.state == claim_state::done && !is_final_status(record.status))
+            return {};
         record.body = object.value("body", "");
         record.has_length = object.value("has_length", true);
         return record;
@@ -57,6 +69,10 @@
     {
         return {};
     }
+    catch (const json_error&)
+    {
+        return {};
+    }
 }
 
 std::string claim_key(const std::string& route, const std::string& caller_key)
--- a/servers/gateway/block_records.cpp
+++ b/servers/gateway/block_records.cpp
@@ -55,14 +55,15 @@
     {
         const nlohmann::json record = parse_json_or_null(item.value);
         const prompt_part_id part{record.at("part").get<std::string>()};
-        const int trials = record.at("trials").get<int>();
-        const milliseconds next_trial_at{record.at("next_trial_at_ms").get<long long>()};
+        const int trials = checked_count(record.at("trials"));
+        const milliseconds next_trial_at{
+            checked_integer(record.at("next_trial_at_ms"), 0, max_exact_integer)};
         records_[item.key] = {part, trials, item.revision};
         guard_.adopt(part,
                      block_from_record(trials, next_trial_at - wall_clock_milliseconds(),
                                        context_.loop.now()));
     }
-    catch (const nlohmann::json::exception& error)
+    catch (const std::exception& error)
     {
         context_.log.write("block record malformed",
                            {{"key", item.key}, {"reason", error.what()}});
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -2,7 +2,7 @@
 
 #include "core/json_text.hpp"
 
-#include <cmath>
+#include <limits>
 #include <stdexcept>
 
 namespace pollenhaven
@@ -17,6 +17,38 @@
 // can run together during a roll-out.
 constexpr int format_version = 1;
 
+int decode_integer(const json& value)
+{
+    return static_cast<int>(checked_integer(value, std::numeric_limits<int>::min(),
+                                            std::numeric_limits<int>::max()));
+}
+
+std::uint64_t decode_unsigned(const json& value)
+{
+    if (value.is_number_unsigned())
+        return value.get<std::uint64_t>();
+    return static_cast<std::uint64_t>(
+        checked_integer(value, 0, std::numeric_limits<std::int64_t>::max()));
+}
+
+// Returns 0 if the field is missing.
+std::uint64_t optional_unsigned(const json& body, const char* field)
+{
+    return body.contains(field) ? decode_unsigned(body.at(field)) : 0;
+}
+
+// Decodes a number of milliseconds, which may be negative: a time that has passed.
+milliseconds decode_duration(const json& value)
+{
+    return milliseconds(
+        checked_integer(value, -max_duration.count(), max_duration.count()));
+}
+
+double decode_milliseconds(const json& value)
+{
+    return checked_number(value, 0, static_cast<double>(max_duration.count()));
+}
+
 json encode_counts(const std::map<adapter_id, int>& counts)
 {
     json object = json::object();
@@ -29,7 +61,7 @@
 {
     std::map<adapter_id, int> counts;
     for (const auto& [name, count] : object.items())
-        counts[{name}] = count.get<int>();
+        counts[{name}] = decode_integer(count);
     return counts;
 }
 
@@ -49,7 +81,7 @@
 {
     endpoint_loads loads;
     for (const auto& [endpoint, load] : object.items())
-        loads[{endpoint}] = {load.at(0).get<int>(), load.at(1).get<int>(),
+        loads[{endpoint}] = {decode_integer(load.at(0)), decode_integer(load.at(1)),
                              decode_counts(load.at(2)), decode_counts(load.at(3))};
     return loads;
 }
@@ -67,8 +99,7 @@
 {
     std::vector<load_observation> observations;
     for (const json& entry : list)
-        observations.push_back({entry.at(0).get<int>(),
-                                milliseconds(entry.at(1).get<long long>()),
+        observations.push_back({decode_integer(entry.at(0)), decode_duration(entry.at(1)),
                                 entry.at(2).get<bool>()});
     return observations;
 }
@@ -259,18 +290,13 @@
 
 request_rate decode_rate(const json& value)
 {
-    const double rate = value.get<double>();
-    if (!std::isfinite(rate) || rate < 0)
-        throw std::runtime_error("the request limit " + value.dump() +
-                                 " is not a rate of 0 or more");
-    return {rate};
+    return {checked_number(value, 0, std::numeric_limits<double>::max())};
 }
 
 // Daemons of an earlier release send no eras.
 store_position decode_position(const json& body, const char* era, const char* revision)
 {
-    return {{body.value(era, std::uint64_t{0})},
-            {body.value(revision, std::uint64_t{0})}};
+    return {{optional_unsigned(body, era)}, {optional_unsigned(body, revision)}};
 }
 
 heartbeat_message decode_heartbeat(const json& body)
@@ -280,12 +306,13 @@
     message.ready = body.at("ready").get<bool>();
     message.leaving = body.at("leaving").get<bool>();
     message.cut_off = body.value("cut_off", false);
-    message.store_silence = milliseconds(body.at("silence").get<long long>());
+    message.store_silence = decode_duration(body.at("silence"));
     message.endpoint_loads = decode_endpoint_loads(body.at("use"));
     message.has_endpoint_loads = !body.contains("partial");
     message.operator_change = decode_position(body, "era", "rev");
-    message.era = {body.value("seen_era", std::uint64_t{0})};
-    message.era_age = milliseconds(body.value("era_age", std::int64_t{0}));
+    message.era = {optional_unsigned(body, "seen_era")};
+    message.era_age =
+        body.contains("era_age") ? decode_duration(body.at("era_age")) : milliseconds(0);
     // Daemons of an earlier release don't send observations.
     if (body.contains("loads"))
         message.load_observations = decode_observations(body.at("loads"));
@@ -293,8 +320,9 @@
     {
         const json& store = body.at("store");
         message.load_times.is_learned = store.at(0).get<bool>();
-        message.load_times.full_speed_ms = store.at(1).get<double>();
-        message.load_times.loads_at_full_speed = store.at(2).get<double>();
+        message.load_times.full_speed_ms = decode_milliseconds(store.at(1));
+        message.load_times.loads_at_full_speed =
+            checked_number(store.at(2), 0, max_count);
     }
     if (body.contains("limits"))
         for (const auto& [endpoint, limit] : body.at("limits").items())
@@ -306,7 +334,8 @@
 {
     endpoint_load_message message;
     for (const auto& [endpoint, load] : body.at("counts").items())
-        message.counts[{endpoint}] = {load.at(0).get<int>(), load.at(1).get<int>()};
+        message.counts[{endpoint}] = {decode_integer(load.at(0)),
+                                      decode_integer(load.at(1))};
     return message;
 }
 
@@ -314,20 +343,20 @@
 {
     inventory_message message;
     message.endpoint = {body.at("at").get<std::string>()};
-    message.token = body.at("token").get<std::uint64_t>();
-    message.sequence = body.at("seq").get<std::uint64_t>();
-    message.queued_loads = body.at("queue").get<int>();
+    message.token = decode_unsigned(body.at("token"));
+    message.sequence = decode_unsigned(body.at("seq"));
+    message.queued_loads = decode_integer(body.at("queue"));
     for (const json& entry : body.at("has"))
     {
         constexpr std::size_t fields_of_loaded = 3;
         reported_adapter adapter;
         adapter.adapter = {{entry.at(0).get<std::string>()},
-                           {entry.at(1).get<std::uint64_t>()}};
-        adapter.ready_in = milliseconds(entry.at(2).get<long long>());
+                           {decode_unsigned(entry.at(1))}};
+        adapter.ready_in = decode_duration(entry.at(2));
         if (entry.size() > fields_of_loaded)
         {
-            adapter.loading_for = milliseconds(entry.at(3).get<long long>());
-            adapter.concurrent_loads = entry.at(4).get<int>();
+            adapter.loading_for = decode_duration(entry.at(3));
+            adapter.concurrent_loads = decode_integer(entry.at(4));
         }
         message.adapters.push_back(adapter);
     }
@@ -338,8 +367,8 @@
 {
     load_queue_message message;
     message.endpoint = {body.at("at").get<std::string>()};
-    message.token = body.at("token").get<std::uint64_t>();
-    message.queued_loads = body.at("queue").get<int>();
+    message.token = decode_unsigned(body.at("token"));
+    message.queued_loads = decode_integer(body.at("queue"));
     return message;
 }
 
@@ -348,12 +377,12 @@
     load_request_message message;
     message.endpoint = {body.at("at").get<std::string>()};
     message.adapter = {body.at("adapter").get<std::string>()};
-    message.urgency = body.at("urgency").get<int>();
+    message.urgency = decode_integer(body.at("urgency"));
     message.replica = body.at("replica").get<bool>();
-    message.waiting = body.at("waiting").get<int>();
-    message.ready_within = milliseconds(body.at("on_time").get<long long>());
+    message.waiting = decode_integer(body.at("waiting"));
+    message.ready_within = decode_duration(body.at("on_time"));
     if (body.contains("version"))
-        message.version = adapter_version{body.at("version").get<std::uint64_t>()};
+        message.version = adapter_version{decode_unsigned(body.at("version"))};
     return message;
 }
 
@@ -369,12 +398,12 @@
     prompt_parts_message message;
     for (const auto& [endpoint, parts] : body.at("crashes").items())
         for (const auto& [part, position] : parts.items())
-            message.crashes[{endpoint}][{part}] = position.get<int>();
+            message.crashes[{endpoint}][{part}] = decode_integer(position);
     for (const json& part : body.at("answered"))
         message.answered.push_back({part.get<std::string>()});
     for (const auto& [part, block] : body.at("blocked").items())
-        message.blocked[{part}] = {block.at(0).get<int>(),
-                                   milliseconds(block.at(1).get<long long>())};
+        message.blocked[{part}] = {decode_integer(block.at(0)),
+                                   decode_duration(block.at(1))};
     return message;
 }
 
@@ -394,11 +423,11 @@
     message.key = body.at("key").get<std::string>();
     message.position = decode_position(body, "era", "rev");
     message.deleted = body.at("deleted").get<bool>();
-    message.value_bytes = body.at("size").get<std::size_t>();
-    message.offset = body.at("offset").get<std::size_t>();
+    message.value_bytes = decode_unsigned(body.at("size"));
+    message.offset = decode_unsigned(body.at("offset"));
     const json::binary_t& bytes = body.at("bytes").get_binary();
     message.bytes.assign(bytes.begin(), bytes.end());
-    message.item_count = body.at("items").get<std::size_t>();
+    message.item_count = decode_unsigned(body.at("items"));
     message.response_position = decode_position(body, "position_era", "position");
     return message;
 }
@@ -407,8 +436,8 @@
 {
     endpoint_limit_message message;
     message.endpoint = {body.at("at").get<std::string>()};
-    message.endpoint_started_ms = body.at("born").get<std::uint64_t>();
-    message.permit = {body.at("permit").get<std::uint64_t>()};
+    message.endpoint_started_ms = decode_unsigned(body.at("born"));
+    message.permit = {decode_unsigned(body.at("permit"))};
     if (body.contains("limit"))
         message.limit = decode_rate(body.at("limit"));
     return message;
@@ -418,9 +447,9 @@
 {
     permit_request_message message;
     message.endpoint = {body.at("at").get<std::string>()};
-    message.endpoint_started_ms = body.at("born").get<std::uint64_t>();
+    message.endpoint_started_ms = decode_unsigned(body.at("born"));
     message.limit = decode_rate(body.at("limit"));
-    message.limit_age = milliseconds(body.at("age").get<long long>());
+    message.limit_age = decode_duration(body.at("age"));
     return message;
 }
 
@@ -429,8 +458,8 @@
     permit_message message;
     message.endpoint = {body.at("at").get<std::string>()};
     message.is_limited = body.at("limited").get<bool>();
-    message.number = {body.at("number").get<std::uint64_t>()};
-    message.retry_in = milliseconds(body.at("retry").get<long long>());
+    message.number = {decode_unsigned(body.at("number"))};
+    message.retry_in = decode_duration(body.at("retry"));
     return message;
 }
 
@@ -438,8 +467,8 @@
 {
     endpoint_room_message message;
     message.endpoint = {body.at("at").get<std::string>()};
-    message.endpoint_started_ms = body.at("born").get<std::uint64_t>();
-    message.accepted = body.at("accepted").get<int>();
+    message.endpoint_started_ms = decode_unsigned(body.at("born"));
+    message.accepted = decode_integer(body.at("accepted"));
     message.bearable_rejections = decode_rate(body.at("bears"));
     return message;
 }
@@ -495,7 +524,7 @@
         throw std::runtime_error("the message is not a MessagePack map");
     try
     {
-        if (body.at("format").get<int>() != format_version)
+        if (decode_integer(body.at("format")) != format_version)
             throw std::runtime_error("the message has another format version");
         fleet_message message = decode_body(body);
         std::visit([&](auto& typed_message)
--- a/tests/contract/odd_values_test.cpp
+++ b/tests/contract/odd_values_test.cpp
@@ -48,6 +48,21 @@
     return head;
 }
 
+// Whether the message of an error names the field and the value.
+struct names_field_and_value
+{
+    std::string field;
+    std::string value;
+
+    bool operator()(const std::exception& error) const
+    {
+        const std::string text = error.what();
+        const std::string written = nlohmann::json::parse(value).dump();
+        return text.find("'" + field + "'") != std::string::npos &&
+               text.find(written) != std::string::npos;
+    }
+};
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(odd_values)
@@ -143,4 +158,168 @@
     }
 }
 
+// Guards against numbers that don't fit the type they are stored in. Such a conversion is
+// undefined, and differs between processors.
+BOOST_AUTO_TEST_CASE(a_number_out_of_range_in_an_entry_is_an_error_that_names_it)
+{
+    const platform_dialect platform = dialect();
+    for (const char* const field : {"slots", "remainingMs", "seq", "running", "waiting"})
+        for (const std::string value :
+             {"1e300", "-1e300", "-1", "18446744073709551615", "\"7\"", "[7]", "true"})
+            BOOST_CHECK_EXCEPTION(
+                platform.read_endpoint(endpoint_item(entry_with(field, value))),
+                dialect_error, (names_field_and_value{field, value}));
+    for (const char* const field : {"slots", "seq", "running", "waiting"})
+        BOOST_CHECK_EXCEPTION(
+            platform.read_endpoint(endpoint_item(entry_with(field, "1.5"))),
+            dialect_error, (names_field_and_value{field, "1.5"}));
+    for (const char* const name :
+         {"a1@99999999999999999999999", "a1@-1", "a1@1e3", "a1@"})
+    {
+        const std::string models =
+            R"([{"name":"base","adapters":[")" + std::string(name) + "\"]}]";
+        BOOST_CHECK_THROW(
+            platform.read_endpoint(endpoint_item(entry_with("models", models))),
+            dialect_error);
+    }
+}
+
+// Guards against a check that refuses what endpoints write.
+BOOST_AUTO_TEST_CASE(a_number_in_range_in_an_entry_is_read)
+{
+    const platform_dialect platform = dialect();
+    const auto read = [&](const std::string& field, const std::string& value)
+    { return platform.read_endpoint(endpoint_item(entry_with(field, value))); };
+    BOOST_TEST(read("slots", "16").slots == 16);
+    BOOST_TEST(read("slots", "16.0").slots == 16);
+    BOOST_TEST(read("slots", "null").slots == 1);
+    BOOST_TEST(read("seq", "9007199254740992").inventory.accepted_orders ==
+               9007199254740992U);
+    BOOST_TEST(read("remainingMs", "2500.75").remaining->count() == 2500);
+    BOOST_TEST(read("remainingMs", "0").remaining->count() == 0);
+    BOOST_TEST(read("models", R"([{"name":"base","adapters":["a1@7"]}])")
+                   .inventory.adapters.front()
+                   .version.value == 7U);
+}
+
+// Guards against a configuration whose numbers overflow where they are used. The one in
+// force stays.
+BOOST_AUTO_TEST_CASE(a_number_out_of_range_in_a_configuration_is_an_error_that_names_it)
+{
+    const platform_dialect platform = dialect();
+    const auto route_with = [](const std::string& field, const std::string& value)
+    {
+        return R"({"version":1,"routes":[{"host":"h","pathPrefix":"/","kind":"idempotent",)"
+               R"("service":"s",")" +
+               field + "\":" + value + "}]}";
+    };
+    for (const char* const field :
+         {"timeoutMs", "targetLatencyMs", "maxAttempts", "priority"})
+        for (const std::string value : {"1e300", "-1", "18446744073709551615", "\"7\""})
+            BOOST_CHECK_EXCEPTION(platform.read_routing(route_with(field, value)),
+                                  dialect_error, (names_field_and_value{field, value}));
+    const auto split_with = [&](const std::string& weight)
+    { return route_with("split", R"([{"service":"s","weight":)" + weight + "}]"); };
+    for (const std::string weight : {"1e300", "-1", "null"})
+        BOOST_CHECK_EXCEPTION(platform.read_routing(split_with(weight)), dialect_error,
+                              (names_field_and_value{"weight", weight}));
+    for (const char* const field :
+         {"maxHeaderBytes", "maxBodyBytes", "headerTimeoutMs", "idleTimeoutMs"})
+        for (const std::string value : {"1e300", "-1"})
+            BOOST_CHECK_EXCEPTION(platform.read_routing(R"({"version":1,"limits":{")" +
+                                                        std::string(field) +
+                                                        "\":" + value + "}}"),
+                                  dialect_error, (names_field_and_value{field, value}));
+    for (const char* const field : {"slots", "adapterSlots", "weightsMb"})
+        for (const std::string value : {"1e300", "-1"})
+            BOOST_CHECK_EXCEPTION(
+                platform.read_routing(
+                    R"({"version":1,"services":[{"name":"s","engine":{")" +
+                    std::string(field) + "\":" + value + "}}]}"),
+                dialect_error, (names_field_and_value{field, value}));
+    const route read =
+        platform.read_routing(route_with("timeoutMs", "15000.5")).routes.front();
+    BOOST_TEST(read.timeout.count() == 15000);
+}
+
+// Guards against a caller's numbers that wrap around to negative ones, or whose sum with
+// the time of arrival overflows.
+BOOST_AUTO_TEST_CASE(large_numbers_of_a_caller_are_bounded)
+{
+    const platform_dialect platform = dialect();
+    http_head head = chat_head();
+    head.fields = {{"X-Pollenhaven-Token-Count", "4294967295,9223372036854775807"},
+                   {"X-Pollenhaven-Deadline-Ms", "9223372036854775807"}};
+    for (const std::string deadline :
+         {"9223372036854775807", "99999999999999999999999999"})
+    {
+        head.fields.back().value = deadline;
+        const caller_request request = platform.read_request(head);
+        BOOST_TEST(request.prompt_tokens >= 0);
+        BOOST_TEST(request.output_tokens >= 0);
+        BOOST_REQUIRE(request.deadline.has_value());
+        BOOST_TEST((instant::max() - *request.deadline > boot_clock::now()));
+    }
+}
+
+// Guards against numbers in the head of an endpoint's response that are negative or
+// overflow.
+BOOST_AUTO_TEST_CASE(odd_numbers_in_the_head_of_a_response_are_ignored)
+{
+    const platform_dialect platform = dialect();
+    const auto read = [&](const std::string& name, const std::string& value)
+    {
+        http_head head;
+        head.status = 200;
+        head.fields = {{name, value}};
+        return platform.read_response(head);
+    };
+    for (const std::string value : {"timeout=-5", "timeout=99999999999", "timeout=x"})
+        BOOST_TEST(!read("Keep-Alive", value).idle_timeout.has_value(), value);
+    BOOST_TEST(read("Keep-Alive", "timeout=5, max=7").idle_timeout->count() == 5000);
+    for (const std::string value : {"-1", "1e300", "inf", "nan", "soon"})
+        BOOST_TEST(!read("Retry-After", value).retry_after.has_value(), value);
+    BOOST_TEST(read("Retry-After", "99999999999999999999").retry_after->count() ==
+               3'600'000);
+}
+
+// Guards against a claim of another writer whose status or time can't be one.
+BOOST_AUTO_TEST_CASE(a_claim_with_numbers_out_of_range_is_no_answer)
+{
+    for (const std::string status : {"0", "-200", "1e300", "99999", "\"200\"", "null"})
+        BOOST_TEST((decode_claim(R"({"done":true,"attempt":"a","status":)" + status + "}")
+                        .state == claim_state::claimed),
+                   status);
+    for (const std::string at : {"1e300", "-9223372036854775808", "\"1\""})
+        BOOST_TEST(decode_claim(R"({"attempt":"a","claimed_ms":)" + at + "}")
+                           .claimed_at.count() == 0,
+                   at);
+}
+
+// Guards against numbers of a peer that don't fit their type, or overflow a time.
+BOOST_AUTO_TEST_CASE(a_peer_message_with_a_number_out_of_range_is_refused)
+{
+    const auto with = [](const std::string& fields)
+    {
+        const nlohmann::json body = nlohmann::json::parse(
+            R"({"format":1,"from":"daemon-2","at":"i-1",)" + fields + "}");
+        const std::vector<std::uint8_t> bytes = nlohmann::json::to_msgpack(body);
+        return std::string(bytes.begin(), bytes.end());
+    };
+    BOOST_CHECK_NO_THROW(decode(with(R"("kind":"queue","token":1,"queue":3)")));
+    for (const std::string value : {"1e300", "-1e300", "1.5", "18446744073709551615",
+                                    "9223372036854775807", "true"})
+    {
+        BOOST_CHECK_THROW(decode(with(R"("kind":"queue","token":1,"queue":)" + value)),
+                          std::runtime_error);
+        BOOST_CHECK_THROW(
+            decode(with(R"("kind":"permit","limited":true,"number":1,"retry":)" + value)),
+            std::runtime_error);
+        BOOST_CHECK_THROW(
+            decode(with(R"("kind":"holds","token":1,"seq":1,"queue":0,"has":[["a",1,)" +
+                        value + "]]")),
+            std::runtime_error);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
