Refuse settings that are not a number or no address when they are read

A daemon started with a retry ratio of `nan` would have had a budget that compares as neither used up nor free, and one whose store is `host.name:80` or 127.0.0.256:80 would have run without ever reaching the store, so its callers got only refusals and the log named no setting.

Cause: the range check asked whether the value is below or above its bounds, which is false for `nan`; addresses were split at the colon, but their IP was looked at only by each connect.

Now a number has to lie between its bounds, and addresses in the settings are converted as a connect does. The error names file, line and key, as for all settings, also at a reload.

Ruled out: a check at the first connect, because a daemon that never reaches its store has to say so at its start. No deployment depends on names: listening on one has always failed, and connecting to one too.

--- a/servers/settings_file.cpp
+++ b/servers/settings_file.cpp
@@ -67,7 +67,7 @@
                                                    : reader.text(key, fallback)};
     try
     {
-        split_address(address);
+        to_socket_address(address);
     }
     catch (const std::runtime_error& error)
     {
--- a/servers/toml_reader.cpp
+++ b/servers/toml_reader.cpp
@@ -77,7 +77,8 @@
         return fallback;
     }
     const double value = node->value<double>().value_or(fallback);
-    if (value < lowest || value > highest)
+    // Not a number compares as neither below nor above a bound.
+    if (!(value >= lowest && value <= highest))
     {
         std::ostringstream message;
         message << "is " << value << ", outside " << lowest << " to " << highest;
--- a/tests/contract/odd_values_test.cpp
+++ b/tests/contract/odd_values_test.cpp
@@ -8,9 +8,14 @@
 #include "policy/crash_history.hpp"
 #include "servers/gateway/base_versions.hpp"
 #include "servers/gateway/fleet_messages.hpp"
+#include "servers/gateway/gateway_settings.hpp"
+#include "servers/settings_error.hpp"
+#include "tests/harness/fleet.hpp"
 
 #include <boost/test/unit_test.hpp>
 
+#include <fstream>
+
 using namespace pollenhaven;
 
 namespace
@@ -322,4 +327,29 @@
     }
 }
 
+// Guards against settings that no connection can use, and against a number that compares
+// as neither too small nor too large.
+BOOST_AUTO_TEST_CASE(settings_that_are_no_number_or_no_address_are_refused)
+{
+    const std::string listen = "[daemon]\nid = \"d\"\nzone = \"z\"\n[listen]\n"
+                               "callers = \"127.0.0.1:1\"\nreadiness = \"127.0.0.1:2\"\n"
+                               "directory = \"127.0.0.1:3\"\npeers = \"127.0.0.1:4\"\n";
+    const std::string store = "[store]\naddress = ";
+    const std::string retries = "\"127.0.0.1:5\"\n[retries]\nratio = ";
+    const std::string path = harness::make_temp_directory() + "/settings.toml";
+    const auto read = [&](const std::string& rest)
+    {
+        std::ofstream(path) << listen << store << rest << "\n";
+        return read_gateway_settings(path);
+    };
+    BOOST_CHECK_NO_THROW(read(retries + "0.5"));
+    for (const char* const ratio : {"nan", "-nan", "inf", "-1.0", "1e300"})
+        BOOST_CHECK_THROW(read(retries + ratio), settings_error);
+    for (const char* const address :
+         {"\"host.name:80\"", "\"127.0.0.1:65536\"", "\"127.0.0.1:99999999999\"",
+          "\"127.0.0.1:-1\"", "\"127.0.0.1:0\"", "\"127.0.0.256:80\"",
+          "\"127.0.0.1:80 \"", "\"\""})
+        BOOST_CHECK_THROW(read(address), settings_error);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
