--- a/policy/crash_history.cpp
+++ b/policy/crash_history.cpp
@@ -1,6 +1,7 @@
 #include "policy/crash_history.hpp"
 
-#include <nlohmann/json.hpp>
+#include "core/json_text.hpp"
+
 #include <xxhash.h>
 
 #include <algorithm>
@@ -52,7 +53,7 @@
 
 std::string canonical_text(const std::string& body)
 {
-    nlohmann::json parsed = nlohmann::json::parse(body, nullptr, false);
+    nlohmann::json parsed = parse_json_or_null(body);
     if (!parsed.is_object())
         return body;
     remove_volatile_fields(parsed);
