Bound the search for a stream's version while the store is mute

Callers who resumed streams at a daemon whose store accepted connections and answered nothing were refused with "deadline" after their whole time, although all engines ran one version. Each search read its record over one connection, one after the other, and each read took its timeout of 0.9 s; a search looked at its time only when its own read had ended, so the third one already ended after the callers had left.

Searches now have a timer of their own: each ends after 1.5 s, whether or not its record was read, and reads of searches that have ended are left out. 1.5 s instead of 2 s, because callers give a stream up after two seconds without an event, and the endpoint needs a part of that. The searches move to stream_searches, apart from the writing of records.

--- a/servers/gateway/stream_records.cpp
+++ b/servers/gateway/stream_records.cpp
@@ -1,8 +1,5 @@
 #include "servers/gateway/stream_records.hpp"
 
-#include "policy/crash_history.hpp"
-#include "servers/gateway/base_versions.hpp"
-
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -14,59 +11,28 @@
 namespace
 {
 
-// Not below the prefix that all daemons watch: a record is read only when it is needed.
-constexpr const char* record_prefix = "pollenhaven-streams/";
 constexpr int status_ok = 200;
 constexpr milliseconds call_timeout{900};
 constexpr milliseconds retry_interval{100};
 // A stream waits for its record up to this long. Callers give a stream up after a gap of
 // two seconds or more.
 constexpr milliseconds max_record_wait{1500};
-// A caller's resumption waits this long for the store.
-constexpr milliseconds max_search_time{2000};
-// Within this time after a restored store was first seen, all daemons have written again
-// the records that it has lost.
-constexpr milliseconds rewrite_time{5000};
 // The store's limit on the entries of one transaction.
 constexpr std::size_t max_batch_entries = 32;
 // Removals that are due are written in full batches, or when the next record is.
 constexpr std::size_t removals_per_write = 30;
 constexpr milliseconds listing_interval{60'000};
 
-// Ids come from callers and may contain any characters; keys have a fixed length.
-std::string record_key(const request_id& stream)
-{
-    return record_prefix + content_fingerprint("stream", stream.value);
-}
-
 std::string encode_record(const request_id& stream, const software_version& version)
 {
     return nlohmann::json{{"stream", stream.value}, {"version", version.value}}.dump();
 }
 
-const char* to_text(origin_source source)
-{
-    switch (source)
-    {
-    case origin_source::own_memory:
-        return "own memory";
-    case origin_source::record:
-        return "record";
-    case origin_source::base_version:
-        return "base version";
-    case origin_source::only_version:
-        return "only version";
-    case origin_source::unknown:
-        break;
-    }
-    return "unknown";
-}
-
 } // namespace
 
 stream_records::stream_records(gateway_context& context, loaded_check is_loaded)
     : context_(context), is_loaded_(std::move(is_loaded)), writer_(context),
-      reader_(context)
+      reader_(context), searches_(context, is_loaded_)
 {
 }
 
@@ -106,7 +72,7 @@
         batch.push_back(std::move(pending_.front()));
         pending_.pop_front();
         transaction.writes.push_back(
-            {record_key(batch.back().stream),
+            {stream_record_key(batch.back().stream),
              encode_record(batch.back().stream, batch.back().version), 0});
     }
     std::vector<std::string> removals;
@@ -181,73 +147,7 @@
     const auto known = known_.find(stream);
     if (known != known_.end() && known->second.has_begun)
         return done({origin_source::own_memory, known->second.version});
-    if (stream.empty())
-        return finish_search(stream, service, record_lookup::unanswered, {}, done);
-    read_record(stream, service, context_.loop.now() + max_search_time, std::move(done));
-}
-
-void stream_records::read_record(const request_id& stream, const service_id& service,
-                                 instant until, origin_handler done)
-{
-    const std::string key = record_key(stream);
-    reader_.call(
-        context_.dialect.range_call(key, ""), call_timeout,
-        [this, stream, service, until, key,
-         done = std::move(done)](const http_result& result)
-        {
-            const auto retry = [this, stream, service, until, done]
-            {
-                if (context_.loop.now() + retry_interval > until)
-                    return finish_search(stream, service, record_lookup::unanswered, {},
-                                         done);
-                context_.loop.schedule_after(
-                    retry_interval, [this, stream, service, until, done]
-                    { read_record(stream, service, until, done); });
-            };
-            if (!result.has_response || result.status != status_ok)
-                return retry();
-            try
-            {
-                const store_page page = context_.dialect.read_page(result.body);
-                for (const store_item& item : page.items)
-                {
-                    const std::optional<software_version> version =
-                        decode_software_version(item.value);
-                    if (item.key == key && version)
-                        return finish_search(stream, service, record_lookup::found,
-                                             *version, done);
-                }
-            }
-            catch (const dialect_error& error)
-            {
-                context_.log.write("stream record not read",
-                                   {{"request", stream.value}, {"reason", error.what()}});
-                return retry();
-            }
-            if (!is_conclusive())
-                return retry();
-            finish_search(stream, service, record_lookup::absent, {}, done);
-        });
-}
-
-bool stream_records::is_conclusive() const
-{
-    return is_loaded_() && (!context_.era_seen_at ||
-                            context_.loop.now() - *context_.era_seen_at > rewrite_time);
-}
-
-void stream_records::finish_search(const request_id& stream, const service_id& service,
-                                   record_lookup lookup, const software_version& recorded,
-                                   const origin_handler& done)
-{
-    const stream_origin origin = locate_stream(context_.fleet, service, lookup, recorded,
-                                               is_conclusive(), context_.loop.now());
-    context_.log.write("stream located", {{"stream_begun_by", stream.value},
-                                          {"software", origin.version.value},
-                                          {"source", to_text(origin.source)}});
-    context_.metrics.add("pollenhaven_stream_searches_total{source=\"" +
-                         std::string(to_text(origin.source)) + "\"}");
-    done(origin);
+    searches_.find(stream, service, std::move(done));
 }
 
 void stream_records::run_periodic_work()
@@ -277,7 +177,7 @@
                   {
                       const bool has_ended = now - entry.second.at > stream_lifetime;
                       if (has_ended && entry.second.has_record)
-                          removals_.push_back(record_key(entry.first));
+                          removals_.push_back(stream_record_key(entry.first));
                       return has_ended;
                   });
     schedule_write();
@@ -296,7 +196,7 @@
 
 void stream_records::read_abandoned_page(const std::string& after)
 {
-    reader_.call(context_.dialect.range_call(record_prefix, after), call_timeout,
+    reader_.call(context_.dialect.range_call(stream_record_prefix, after), call_timeout,
                  [this](const http_result& result)
                  {
                      listing_in_progress_ = false;
--- a/servers/gateway/stream_records.hpp
+++ b/servers/gateway/stream_records.hpp
@@ -4,6 +4,7 @@
 #include "policy/fleet/stream_origin.hpp"
 #include "servers/gateway/gateway_context.hpp"
 #include "servers/gateway/store_client.hpp"
+#include "servers/gateway/stream_searches.hpp"
 
 #include <deque>
 #include <functional>
@@ -21,9 +22,8 @@
 {
 public:
     using recorded_handler = std::function<void()>;
-    using origin_handler = std::function<void(const stream_origin&)>;
-    // Returns true if this daemon has all base versions that the store has.
-    using loaded_check = std::function<bool()>;
+    using origin_handler = stream_searches::origin_handler;
+    using loaded_check = stream_searches::loaded_check;
 
     stream_records(gateway_context& context, loaded_check is_loaded);
 
@@ -67,12 +67,6 @@
                           const http_result& result);
     // Lets the streams go on whose records take too long to write.
     void release_late_streams();
-    void read_record(const request_id& stream, const service_id& service, instant until,
-                     origin_handler done);
-    void finish_search(const request_id& stream, const service_id& service,
-                       record_lookup lookup, const software_version& recorded,
-                       const origin_handler& done);
-    bool is_conclusive() const;
     // Writes the records again that a restored store may have lost.
     void handle_new_era();
     void forget_ended_streams();
@@ -84,6 +78,7 @@
     loaded_check is_loaded_;
     store_client writer_;
     store_client reader_;
+    stream_searches searches_;
     std::deque<pending_record> pending_;
     bool write_scheduled_ = false;
     bool write_in_progress_ = false;
--- /dev/null
+++ b/servers/gateway/stream_searches.hpp
@@ -0,0 +1,72 @@
+#ifndef POLLENHAVEN_SERVERS_GATEWAY_STREAM_SEARCHES_HPP
+#define POLLENHAVEN_SERVERS_GATEWAY_STREAM_SEARCHES_HPP
+
+#include "policy/fleet/stream_origin.hpp"
+#include "servers/gateway/gateway_context.hpp"
+#include "servers/gateway/store_client.hpp"
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <string>
+
+namespace pollenhaven
+{
+
+// Not below the prefix that all daemons watch: a record is read only when it is needed.
+inline constexpr const char* stream_record_prefix = "pollenhaven-streams/";
+
+// Returns the key of a stream's record in the store.
+std::string stream_record_key(const request_id& stream);
+
+// Finds the versions that began streams from their records in the store and from what
+// this daemon knows of the fleet (policy/fleet/stream_origin.hpp). Each search ends in
+// bounded time, whether or not the store responds.
+class stream_searches
+{
+public:
+    using origin_handler = std::function<void(const stream_origin&)>;
+    // Returns true if this daemon has all base versions that the store has.
+    using loaded_check = std::function<bool()>;
+
+    stream_searches(gateway_context& context, loaded_check is_loaded);
+
+    // Finds the version that began a stream of the service. `done` is called once with
+    // the result.
+    void find(const request_id& stream, const service_id& service, origin_handler done);
+
+private:
+    using search_id = strong_number<struct search_id_tag>;
+
+    struct search
+    {
+        request_id stream;
+        service_id service;
+        instant began;
+        origin_handler done;
+    };
+
+    // Reads the record of the next search that waits for it. There is one read at a time,
+    // since a connection to the store carries one call.
+    void read_next();
+    void on_read(search_id id, const http_result& result);
+    void read_again_later(search_id id);
+    // Ends the searches whose time is over.
+    void check_searches();
+    void finish(search_id id, record_lookup lookup, const software_version& recorded);
+    bool is_conclusive() const;
+
+    gateway_context& context_;
+    loaded_check is_loaded_;
+    store_client client_;
+    std::map<search_id, search> searches_;
+    std::uint64_t last_id_ = 0;
+    // The searches whose records are to be read next. Some may have ended.
+    std::deque<search_id> unread_;
+    bool read_in_progress_ = false;
+    bool check_scheduled_ = false;
+};
+
+} // namespace pollenhaven
+
+#endif
--- a/tests/process/checks.hpp
+++ b/tests/process/checks.hpp
@@ -61,6 +61,18 @@
     }
 }
 
+// The software version of an engine, by its id.
+inline std::string software_of(const fleet_options& options, const std::string& engine)
+{
+    return options.engine_software.at(
+        static_cast<std::size_t>(std::stoi(engine.substr(engine.find('-') + 1))));
+}
+
+inline std::string request_id(const std::string& kind, int number)
+{
+    return kind + "-" + std::to_string(number);
+}
+
 } // namespace pollenhaven::harness
 
 #endif
--- a/tests/process/stream_version_test.cpp
+++ b/tests/process/stream_version_test.cpp
@@ -29,17 +29,6 @@
     return options;
 }
 
-std::string software_of(const fleet_options& options, const std::string& engine)
-{
-    return options.engine_software.at(
-        static_cast<std::size_t>(std::stoi(engine.substr(engine.find('-') + 1))));
-}
-
-std::string request_id(const std::string& kind, int number)
-{
-    return kind + "-" + std::to_string(number);
-}
-
 // Begins streams through all daemons and kills all daemons at once while they run.
 std::vector<event_stream> begin_streams_and_kill(fleet& deployment)
 {
