Take an answer without a length for broken off if its connection closes after the head

An endpoint that stops after the head of an answer without a length and closes its connection in order looked like one that had answered: callers got a 200 (or a 404 or 500 with the endpoint's signature) with an empty body. The reader calls such a response complete, as HTTP does, and the request path asked for more evidence only for streams of events. It now asks for a byte of the body: an endpoint that has nothing to say states the length 0. The request is repeated where its route allows it, and gets 502 or a broken connection elsewhere, also through a daemon that relays it.

--- a/servers/gateway/http_reader.cpp
+++ b/servers/gateway/http_reader.cpp
@@ -118,6 +118,7 @@
     const boost::beast::error_code error = parser_->request
                                                ? feed(*parser_->request, input, body)
                                                : feed(*parser_->response, input, body);
+    has_body_ = has_body_ || !body.empty();
     const bool head_done = parser_->request ? parser_->request->is_header_done()
                                             : parser_->response->is_header_done();
     if (head_done && !has_head_)
--- a/servers/gateway/http_reader.hpp
+++ b/servers/gateway/http_reader.hpp
@@ -63,6 +63,8 @@
     // True if the end of the body is given by a length or by chunked encoding, and not by
     // the end of the connection.
     bool has_length() const;
+    // True once any byte of the body has arrived.
+    bool has_body() const { return has_body_; }
     // The value of Content-Length; 0 if the field is missing.
     std::size_t content_length() const;
     read_error error() const { return error_; }
@@ -82,6 +84,7 @@
     std::size_t max_line_bytes_ = 0;
     http_head head_;
     bool has_head_ = false;
+    bool has_body_ = false;
     read_error error_ = read_error::none;
 };
 
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -96,8 +96,10 @@
 {
     http_exchange& exchange = exchanges_.at(id.value);
     const bool sent = context_.loop.has_written(exchange.upstream);
+    // Endpoints state the length of an empty body, so one that closes after the head has
+    // been cut off there.
     const bool is_complete = end == stream_end::finished && exchange.has_response_head &&
-                             !exchange.discards_response &&
+                             !exchange.discards_response && exchange.reader->has_body() &&
                              exchange.reader->finish() == read_state::complete;
     if (is_complete)
     {
--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -56,6 +56,9 @@
     std::vector<stream_id> accepted;
     // Bytes of `endpoint_script::repeated` that were passed on for sending.
     std::size_t repeated_bytes = 0;
+    // Answers a request in place of the scripts, if it is set: gets the connection, the
+    // request and its id.
+    std::function<void(stream_id, const std::string&, const std::string&)> respond;
 
     explicit scripted_endpoint(event_loop& shared_loop) : loop(shared_loop)
     {
@@ -92,6 +95,8 @@
         const std::string field = "X-Pollenhaven-Request-Id: ";
         const std::size_t begin = request.find(field) + field.size();
         const std::string id = request.substr(begin, request.find("\r\n", begin) - begin);
+        if (respond)
+            return respond(from, request, id);
         const std::size_t index = std::min(requests.size(), scripts.size()) - 1;
         const endpoint_script& script = scripts.at(index);
         loop.send(from, replaced(script.bytes, "ID", id));
