--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -494,9 +494,8 @@
     if (listeners_.contains(tag))
         return accept_all(tag);
     const stream_id id{tag};
-    const auto found = streams_.find(tag);
     // Both sides have ended: EPOLLHUP is reported even while reading is paused.
-    if (found != streams_.end() && found->second.ends_unread)
+    if (is_open(id) && streams_.at(tag).ends_unread)
         return close(id);
     if ((events & EPOLLOUT) != 0)
         write_stream(id);
