Let two daemons wait for configuration in short calls, so that no silence makes all of them late

Callers could be served by an older configuration for up to 5 s after a change (CONFIG): the watches of all daemons wait on connections that have gone silent, while the store answers everything else. Nobody then knows of the change, so no peer tells.

The first two daemons by id now wait at most 0.8 s in a call of this watch; the others hear from their heartbeats. A daemon that can't see two leased ones before it leads as well, so there are too many rather than too few.

Ruled out: short waits at all daemons, whose cost grows with the fleet (store calls are what large fleets pay most for).

--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -254,6 +254,14 @@
     return false;
 }
 
+bool is_among_first_members(const fleet_view& fleet, int count)
+{
+    const auto earlier =
+        std::count_if(fleet.members.begin(), fleet.members.lower_bound(fleet.self),
+                      [](const auto& entry) { return entry.second.leased; });
+    return earlier < count;
+}
+
 daemon_id first_member_by_hash(const fleet_view& fleet, const std::string& key)
 {
     daemon_id first = fleet.self;
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -258,6 +258,10 @@
 // only one daemon needs to do.
 bool is_first_member(const fleet_view& fleet);
 
+// Returns true if fewer than `count` daemons with a lease in the store come before this
+// one, whether or not it has a lease itself.
+bool is_among_first_members(const fleet_view& fleet, int count);
+
 // Returns the first daemon by rendezvous hashing of the key, of those with a lease in the
 // store and this one.
 daemon_id first_member_by_hash(const fleet_view& fleet, const std::string& key);
--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -172,7 +172,7 @@
         context_.log.write("lease answer malformed", {{"reason", error.what()}});
         return;
     }
-    record_store_response(context_);
+    record_response(context_.store, context_.loop.now());
     context_.log.write("lease granted", {{"lease", static_cast<std::int64_t>(lease_)}});
     write_member_entry(sent);
 }
@@ -186,7 +186,7 @@
     if (!result.has_response)
         return;
     if (result.status == status_ok || result.status == status_not_found)
-        record_store_response(context_);
+        record_response(context_.store, context_.loop.now());
     if (result.status == status_ok)
     {
         if (member_entry_written_)
@@ -399,9 +399,9 @@
 
 void fleet_membership::handle_outage_end()
 {
-    if (context_.store_outage_ended == handled_outage_end_)
+    if (context_.store.outage_ended == handled_outage_end_)
         return;
-    handled_outage_end_ = context_.store_outage_ended;
+    handled_outage_end_ = context_.store.outage_ended;
     restart_takeover_timers(context_.fleet, boot_clock::now());
 }
 
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -31,6 +31,13 @@
     return timing;
 }
 
+watch_timing operator_timing()
+{
+    watch_timing timing;
+    timing.leading_wait = leading_watch_wait;
+    return timing;
+}
+
 void apply_entry_adapters(endpoint_view& view, const endpoint_record& record, instant now)
 {
     view.adapters.clear();
@@ -43,7 +50,7 @@
 fleet_watcher::fleet_watcher(gateway_context& context, endpoint_handler restarted,
                              endpoint_handler gone)
     : context_(context), restarted_(std::move(restarted)), gone_(std::move(gone)),
-      operator_watch_(context, context.dialect.layout.operator_prefix, watch_timing{},
+      operator_watch_(context, context.dialect.layout.operator_prefix, operator_timing(),
                       [this](const store_item& item) { on_operator_item(item); }),
       endpoint_watch_(context, context.dialect.layout.endpoint_prefix, endpoint_timing(),
                       [this](const store_item& item) { on_endpoint(item); })
@@ -172,7 +179,7 @@
     doubtful_endpoints_.erase(id);
     const bool was_gone = is_gone(found->second, now);
     const instant absence_ended =
-        std::max(context_.store_outage_ended, context_.era_seen_at.value_or(instant{}));
+        std::max(context_.store.outage_ended, context_.era_seen_at.value_or(instant{}));
     const instant grace_ends = absence_ended + registration_grace;
     const bool after_outage = !was_gone && absence_ended != instant{} && now < grace_ends;
     if (!was_gone)
--- a/servers/gateway/gateway_context.hpp
+++ b/servers/gateway/gateway_context.hpp
@@ -7,6 +7,7 @@
 #include "core/metrics.hpp"
 #include "policy/fleet/endpoint_links.hpp"
 #include "policy/fleet/order_permission.hpp"
+#include "policy/fleet/watch_call.hpp"
 #include "servers/gateway/event_loop.hpp"
 #include "servers/gateway/gateway_settings.hpp"
 
@@ -46,18 +47,12 @@
     std::vector<load_observation> load_observations;
     // True after SIGTERM or SIGINT, while the daemon shuts down.
     bool leaving = false;
-    // When the store last responded to this daemon; zero if it never has.
-    instant last_store_response{};
+    store_contact store;
     // When the era of a restored store was first seen, by this daemon or by a peer that
     // is up; none if the store was never restored.
     std::optional<instant> era_seen_at;
     // What was last wrong with a stated era; empty if nothing was.
     std::string era_problem;
-    // When the last store outage ended; zero if there was none.
-    instant store_outage_ended{};
-    // When the store last responded after it had been silent towards this daemon for
-    // longer than max_store_response_gap; zero if it never was.
-    instant store_silence_ended{};
 };
 
 // Records the era that the head of a store's response states, and logs a change of it.
@@ -69,27 +64,11 @@
 // was restored learns so that nothing of the time before can matter any more.
 void record_peer_era(gateway_context& context, store_era era, milliseconds age);
 
-// Longer than the interval between two lease renewals, of which one may get no response.
-constexpr milliseconds max_store_response_gap{1000};
-
-// Records a response of the store. One that follows a gap of more than
-// store_outage_threshold ends an outage.
-inline void record_store_response(gateway_context& context)
-{
-    const instant now = context.loop.now();
-    const bool is_first = context.last_store_response == instant{};
-    if (!is_first && now - context.last_store_response > store_outage_threshold)
-        context.store_outage_ended = now;
-    if (!is_first && now - context.last_store_response > max_store_response_gap)
-        context.store_silence_ended = now;
-    context.last_store_response = now;
-}
-
 // Time since the store last responded to this daemon, or since boot if it never has.
 inline milliseconds store_silence(const gateway_context& context)
 {
     return std::chrono::duration_cast<milliseconds>(context.loop.now() -
-                                                    context.last_store_response);
+                                                    context.store.last_response);
 }
 
 // Whether the daemon may be listed for callers: it has a configuration and isn't shutting
--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -19,13 +19,24 @@
 constexpr milliseconds first_retry_delay{100};
 // Spreads the calls that all daemons send again after a silence of the store.
 constexpr milliseconds pending_call_check_interval{250};
-// A change reaches all daemons within this time, unless the store is slow.
-constexpr milliseconds change_propagation_time{500};
-// A call isn't repeated earlier than this because of what peers know, and after twice the
-// time each time.
-constexpr milliseconds min_call_age{1000};
 constexpr int max_doublings = 3;
 
+const char* to_text(repeat_reason reason)
+{
+    switch (reason)
+    {
+    case repeat_reason::store_was_silent:
+        return "the store was silent";
+    case repeat_reason::store_was_restored:
+        return "the store was restored";
+    case repeat_reason::peers_are_ahead:
+        return "peers know a newer change";
+    case repeat_reason::none:
+        break;
+    }
+    return "none";
+}
+
 } // namespace
 
 store_watch::store_watch(gateway_context& context, std::string prefix,
@@ -40,11 +51,11 @@
 void store_watch::send(const outgoing_call& call, milliseconds timeout,
                        http_client::completion_handler done)
 {
-    call_sent_at_ = context_.loop.now();
+    call_.sent_at = context_.loop.now();
     client_.call(call, timeout,
                  [this, done = std::move(done)](const http_result& result)
                  {
-                     call_sent_at_.reset();
+                     call_.sent_at.reset();
                      done(result);
                  });
 }
@@ -53,24 +64,19 @@
 {
     context_.loop.schedule_after(pending_call_check_interval,
                                  [this] { check_pending_call(); });
-    if (!call_sent_at_)
+    call_.is_in_older_era = is_in_older_era();
+    const repeat_reason reason =
+        reason_to_repeat(call_, context_.store, context_.loop.now());
+    if (reason == repeat_reason::none)
         return;
-    const bool is_behind = is_behind_peers();
-    const bool is_outdated = loaded_ && is_in_older_era();
-    if (!is_behind && !is_outdated && *call_sent_at_ >= context_.store_silence_ended)
-        return;
-    if (is_behind)
-        ++repeated_calls_;
-    std::string reason = "the store was silent";
-    if (is_outdated)
-        reason = "the store was restored";
-    else if (is_behind)
-        reason = "peers know a newer change";
-    context_.log.write("store call repeated", {{"prefix", prefix_}, {"reason", reason}});
+    if (reason == repeat_reason::peers_are_ahead)
+        ++call_.repeated_calls;
+    context_.log.write("store call repeated",
+                       {{"prefix", prefix_}, {"reason", to_text(reason)}});
     client_.cancel_all();
-    if (is_outdated)
+    if (reason == repeat_reason::store_was_restored)
         list_again();
-    else if (loaded_)
+    else if (call_.is_loaded)
         wait_for_changes();
     else
         read_page("");
@@ -78,31 +84,19 @@
 
 void store_watch::list_again()
 {
-    loaded_ = false;
+    call_.is_loaded = false;
     read_page("");
 }
 
 void store_watch::on_peer_change(store_position position)
 {
-    if (position <= peer_change_)
-        return;
-    peer_change_ = position;
-    peer_change_heard_at_ = context_.loop.now();
-}
-
-bool store_watch::is_behind_peers() const
-{
-    const instant now = context_.loop.now();
-    return loaded_ && peer_change_ > known_position_ &&
-           now - peer_change_heard_at_ >= change_propagation_time &&
-           now - *call_sent_at_ >=
-               min_call_age * (1 << std::min(repeated_calls_, max_doublings));
+    record_peer_change(call_, position, context_.loop.now());
 }
 
 void store_watch::on_store_response()
 {
-    repeated_calls_ = 0;
-    record_store_response(context_);
+    call_.repeated_calls = 0;
+    record_response(context_.store, context_.loop.now());
     failures_ = 0;
 }
 
@@ -118,7 +112,7 @@
     context_.loop.schedule_after(delay,
                                  [this]
                                  {
-                                     if (loaded_)
+                                     if (call_.is_loaded)
                                          wait_for_changes();
                                      else
                                          read_page("");
@@ -173,8 +167,8 @@
     for (const auto& [key, position] : positions)
         if (!listed_keys_.contains(key) && position <= *listing_position_)
             apply({key, "", listing_position_->revision, true, listing_position_->era});
-    known_position_ = *listing_position_;
-    loaded_ = true;
+    call_.known_position = *listing_position_;
+    call_.is_loaded = true;
     if (resynced_)
         resynced_();
     wait_for_changes();
@@ -210,8 +204,11 @@
 
 void store_watch::wait_for_changes()
 {
-    send(context_.dialect.watch_call(prefix_, known_position_.revision, timing_.wait),
-         timing_.wait + watch_call_margin,
+    const milliseconds wait = is_among_first_members(context_.fleet, leading_watches)
+                                  ? timing_.leading_wait
+                                  : timing_.wait;
+    send(context_.dialect.watch_call(prefix_, call_.known_position.revision, wait),
+         wait + watch_call_margin,
          [this](const http_result& result) { on_changes(result); });
 }
 
@@ -236,7 +233,8 @@
             newest_change_ = std::max(newest_change_, position_of(item));
             apply(item);
         }
-        known_position_ = std::max(known_position_, {context_.fleet.era, page.current});
+        call_.known_position =
+            std::max(call_.known_position, {context_.fleet.era, page.current});
         if (page.items.empty() || timing_.pause.count() == 0)
             return wait_for_changes();
         context_.loop.schedule_after(timing_.pause, [this] { wait_for_changes(); });
--- a/servers/gateway/store_watch.hpp
+++ b/servers/gateway/store_watch.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENHAVEN_SERVERS_GATEWAY_STORE_WATCH_HPP
 #define POLLENHAVEN_SERVERS_GATEWAY_STORE_WATCH_HPP
 
+#include "policy/fleet/watch_call.hpp"
 #include "servers/gateway/gateway_context.hpp"
 #include "servers/gateway/store_client.hpp"
 
@@ -17,6 +18,8 @@
 {
     // The longest time for which the store may delay the response of a watch call.
     milliseconds wait{4500};
+    // The same for a daemon that leads (policy/fleet/watch_call.hpp).
+    milliseconds leading_wait = wait;
     // Pause after a call that returned changes, for prefixes whose items change often.
     milliseconds pause{0};
 };
@@ -38,7 +41,7 @@
     void on_resync(std::function<void()> call) { resynced_ = std::move(call); }
     // Whether a full listing of the prefix has completed in the store's present era, and
     // the history since then is known.
-    bool is_loaded() const { return loaded_ && !is_in_older_era(); }
+    bool is_loaded() const { return call_.is_loaded && !is_in_older_era(); }
 
     // Keeps the items from now on, including deletions, for peers that request them.
     void retain_items() { retains_items_ = true; }
@@ -46,7 +49,7 @@
     const std::map<std::string, store_item>& items() const { return items_; }
     const std::string& prefix() const { return prefix_; }
     // All changes up to this position are known.
-    store_position known_position() const { return known_position_; }
+    store_position known_position() const { return call_.known_position; }
     // The position of the newest change that a response of the store contained.
     store_position newest_change() const { return newest_change_; }
     // Must be called with the newest change that a peer's watch of the prefix has
@@ -72,10 +75,7 @@
     // although the store responds to other calls.
     void check_pending_call();
     // Whether the store has been restored since the listing began.
-    bool is_in_older_era() const { return known_position_.era < context_.fleet.era; }
-    // Whether peers have known of a newer change for so long that the pending call must
-    // have been lost.
-    bool is_behind_peers() const;
+    bool is_in_older_era() const { return call_.known_position.era < context_.fleet.era; }
     void on_store_response();
 
     gateway_context& context_;
@@ -92,17 +92,9 @@
     std::set<std::string> listed_keys_;
     // The store's position when the listing started; none before its first response.
     std::optional<store_position> listing_position_;
-    store_position known_position_;
-    bool loaded_ = false;
+    watch_call call_;
     int failures_ = 0;
-    // When the pending call was sent; none if no call is pending.
-    std::optional<instant> call_sent_at_;
     store_position newest_change_;
-    // The newest change that a peer has reported, and when this daemon first heard of it.
-    store_position peer_change_;
-    instant peer_change_heard_at_{};
-    // Calls sent again for that reason since the last response.
-    int repeated_calls_ = 0;
 };
 
 } // namespace pollenhaven
--- a/servers/gateway/stream_records.cpp
+++ b/servers/gateway/stream_records.cpp
@@ -133,7 +133,7 @@
                          std::string(is_written ? "written" : "failed") + "\"}");
     if (is_written)
     {
-        record_store_response(context_);
+        record_response(context_.store, context_.loop.now());
         for (const pending_record& written : batch)
             if (written.done)
                 written.done();
--- a/tests/contract/store_sync_test.cpp
+++ b/tests/contract/store_sync_test.cpp
@@ -118,7 +118,7 @@
 BOOST_AUTO_TEST_CASE(a_daemon_with_a_recent_store_response_sends_no_sync_request)
 {
     syncing_daemon daemon("asker");
-    record_store_response(daemon.context);
+    record_response(daemon.context.store, daemon.context.loop.now());
     daemon.sync.run_periodic_work();
     BOOST_TEST(daemon.sent.empty());
 }
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -231,8 +231,8 @@
 {
     // No call of the daemon is answered for two seconds, then one of another connection
     // is.
-    context.last_store_response = context.loop.now() - seconds(2);
-    record_store_response(context);
+    context.store.last_response = context.loop.now() - seconds(2);
+    record_response(context.store, context.loop.now());
     run_until([this] { return changes > 0; }, configuration_bound);
     BOOST_TEST(changes == 1);
 }
@@ -257,6 +257,23 @@
     BOOST_TEST(store.connections <= 5);
 }
 
+// Guards against a configuration that comes late to all daemons, whose watches wait on
+// connections that went silent together while the store answers everything else (CONFIG).
+// No peer knows better; one that leads must notice.
+BOOST_FIXTURE_TEST_CASE(a_silent_watch_of_a_daemon_that_leads_is_replaced_in_time,
+                        silenced_watch)
+{
+    watch_timing timing;
+    timing.leading_wait = leading_watch_wait;
+    int leading_changes = 0;
+    store_watch leading(context, "op/", timing,
+                        [&](const store_item&) { ++leading_changes; });
+    run_until([&] { return leading.is_loaded(); }, seconds(2));
+    run_until([&] { return leading_changes > 0; }, configuration_bound);
+    BOOST_TEST(leading_changes == 1);
+    BOOST_TEST(changes == 0);
+}
+
 // Guards against changes of a restored store that are taken for old ones, because their
 // revisions are lower than those known from before (CONFIG).
 BOOST_FIXTURE_TEST_CASE(a_restored_store_is_listed_again_and_its_revisions_count,
@@ -276,7 +293,7 @@
     store.era = "2";
     store.items = {{"op/a", 7}, {"op/c", 60}};
     store.revision = 60;
-    context.store_silence_ended = context.loop.now() + seconds(1);
+    context.store.silence_ended = context.loop.now() + seconds(1);
     store.changes = {{"op/c", 60}};
     run_until([this] { return has_received("op/a", false); }, configuration_bound);
     BOOST_TEST(has_received("op/a", false));
