At SIGTERM, serve what waits to be accepted or is read in part

Connections that waited to be accepted when the daemon stopped listening were reset by the kernel, with the requests in them. A daemon with no request in flight exited although a request had been read in part, and reset it. It also exited while responses were still being written or read by slow callers, and while the ends of idle connections were on their way.

The loop now accepts what waits before its listeners are closed, and the daemon exits early only once it has no caller connections and no streams that are being closed. Connections that stay idle end in order after 0.8 s as before, so this holds the exit up only for requests that have begun; the grace period bounds it as before, and the header timeout bounds slow requests.

Weighed: leaving idle connections open until the exit (a request that comes after 3 s may not finish within the grace period, and a caller that sees the end goes elsewhere at no cost).

--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -97,6 +97,11 @@
 
 void event_loop::stop_listening()
 {
+    std::vector<std::uint64_t> tags;
+    for (const auto& [tag, source] : listeners_)
+        tags.push_back(tag);
+    for (const std::uint64_t tag : tags)
+        accept_all(tag);
     listeners_.clear();
 }
 
@@ -258,6 +263,7 @@
     if (found == streams_.end())
         return;
     found->second.closes_after_output = true;
+    found->second.is_closing = true;
     if (!found->second.flush_scheduled)
         flush_queue_.push_back(id);
     found->second.flush_scheduled = true;
@@ -289,10 +295,18 @@
     shutdown(found->second.socket.number(), SHUT_WR);
     found->second.handlers = {};
     found->second.ends_unread = true;
+    found->second.is_closing = true;
     pause_reading(id);
     schedule_after(linger_time, [this, id] { close(id); });
 }
 
+std::size_t event_loop::closing_streams() const
+{
+    return static_cast<std::size_t>(std::count_if(streams_.begin(), streams_.end(),
+                                                  [](const auto& entry)
+                                                  { return entry.second.is_closing; }));
+}
+
 void event_loop::end_stream(stream_id id, stream_end end)
 {
     const auto found = streams_.find(id.value);
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -61,7 +61,8 @@
     // Accepts connections on an address and passes each new stream to `accepted`, which
     // sets its handlers. Throws std::runtime_error if the address can't be bound.
     void listen(const network_address& address, std::function<void(stream_id)> accepted);
-    // Stops accepting connections; open streams stay open.
+    // Accepts the connections that wait to be accepted, and no others after them. Open
+    // streams stay open.
     void stop_listening();
     // Opens a connection. A failure, including a malformed address or a lack of file
     // descriptors, is reported through `ended`, never during this call.
@@ -108,6 +109,10 @@
     // called.
     void end_unread(stream_id id);
 
+    // Returns the number of streams that close_after_output() or end_unread() has begun
+    // to close. The end of the process would cut off what their peers haven't read.
+    std::size_t closing_streams() const;
+
     // Receives datagrams on an address. Throws std::runtime_error if the address can't be
     // bound.
     void listen_for_datagrams(const network_address& address,
@@ -142,6 +147,8 @@
         bool waiting_for_writable = false;
         bool reading_paused = false;
         bool closes_after_output = false;
+        // close_after_output() or end_unread() was called.
+        bool is_closing = false;
         bool resets_on_close = false;
         // See end_unread().
         bool ends_unread = false;
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -112,6 +112,9 @@
     gateway_activity current_activity() const;
     void check_settings_file();
     void begin_shutdown();
+    // True if the end of the process would cut off no request and no response: none is in
+    // flight, read in part, or not yet read by its caller.
+    bool has_finished_requests() const;
     // Handles signals that have arrived and continues a shutdown. Returns true once the
     // daemon may exit.
     bool process_signals();
@@ -568,6 +571,12 @@
     send_heartbeat();
 }
 
+bool gateway::has_finished_requests() const
+{
+    return flow_.requests_in_flight() == 0 && caller_server_.connections() == 0 &&
+           context_.loop.closing_streams() == 0;
+}
+
 bool gateway::process_signals()
 {
     if (reload_requested != 0)
@@ -585,10 +594,9 @@
         context_.loop.stop_listening();
         stopped_listening_ = true;
     }
-    const bool idle =
-        flow_.requests_in_flight() == 0 && shutdown_duration > min_shutdown_duration;
     const bool may_exit =
-        idle || shutdown_duration > context_.settings.stop_grace - exit_reserve;
+        (shutdown_duration > min_shutdown_duration && has_finished_requests()) ||
+        shutdown_duration > context_.settings.stop_grace - exit_reserve;
     if (!may_exit)
         return false;
     // The loop's last flush sends the call that ends the lease.
--- a/tests/contract/caller_connections_test.cpp
+++ b/tests/contract/caller_connections_test.cpp
@@ -252,4 +252,53 @@
     }
 }
 
+// Guards against callers whose connections are reset at SIGTERM although they were
+// established and may have sent a request: they wait to be accepted.
+BOOST_AUTO_TEST_CASE(
+    connections_that_wait_to_be_accepted_are_served_after_the_listeners_end)
+{
+    constexpr std::size_t connections = 100;
+    server_fixture test;
+    std::vector<caller> callers(connections);
+    test.act_after(milliseconds(1),
+                   [&]
+                   {
+                       for (caller& one : callers)
+                           one.socket = connect_to(test.address);
+                       for (const caller& one : callers)
+                           one.send(request);
+                       test.context.loop.stop_listening();
+                   });
+    test.run_for(milliseconds(100));
+    std::size_t answered = 0;
+    for (caller& one : callers)
+    {
+        one.receive();
+        answered += one.responses();
+    }
+    BOOST_TEST(answered == connections);
+}
+
+// Guards against a process that ends while callers haven't read their responses, or the
+// end of their idle connections: its end would reset them.
+BOOST_AUTO_TEST_CASE(streams_count_as_closing_until_their_callers_have_read_the_end)
+{
+    server_fixture test;
+    test.context.leaving = true;
+    {
+        caller reader = test.connect();
+        const caller idle = test.connect();
+        reader.send(request);
+        test.run_for(milliseconds(10));
+        BOOST_TEST(test.context.loop.closing_streams() == 1U);
+        test.act_after(milliseconds(1), [&] { test.server.close_idle(true); });
+        BOOST_TEST(test.context.loop.closing_streams() == 2U);
+        reader.receive();
+        BOOST_TEST(reader.responses() == 1U);
+    }
+    // Both callers have closed their connections.
+    test.run_for(milliseconds(10));
+    BOOST_TEST(test.context.loop.closing_streams() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -264,7 +264,7 @@
     control_standin(store_address_, {{"down", down}});
 }
 
-void fleet::write_configuration(int version, const std::string& extra_route) const
+json fleet::configuration(int version) const
 {
     json routes{
         route("chat", "/chat/", "streaming", "assistant", 1),
@@ -277,21 +277,41 @@
         routes[0]["maxAttempts"] = 2;
     routes[1]["resumable"] = options_.stream_attempts > 1;
     routes[1]["timeoutMs"] = completion_timeout_ms;
-    if (!extra_route.empty())
-        routes.push_back(route("extra", extra_route, "idempotent", "orders", 2));
     const json engine{
         {"slots", 16},
         {"adapterSlots", options_.adapter_slots_per_engine},
         {"weightsMb", 100000},
         {"models", {{{"name", "base"}, {"weightsMb", 1}, {"adapterMb", 1}}}}};
-    put_store_item("op/config",
-                   {{"version", version},
-                    {"routes", routes},
-                    {"services",
-                     {{{"name", "assistant"}, {"maxConns", 100}, {"engine", engine}},
-                      {{"name", "orders"}, {"maxConns", 100}},
-                      {{"name", "booking"}, {"maxConns", 100}}}},
-                    {"limits", json::object()}});
+    return {{"version", version},
+            {"routes", routes},
+            {"services",
+             {{{"name", "assistant"}, {"maxConns", 100}, {"engine", engine}},
+              {{"name", "orders"}, {"maxConns", 100}},
+              {{"name", "booking"}, {"maxConns", 100}}}},
+            {"limits", json::object()}};
+}
+
+void fleet::write_configuration(int version, const std::string& extra_route) const
+{
+    json written = configuration(version);
+    if (!extra_route.empty())
+        written["routes"].push_back(
+            route("extra", extra_route, "idempotent", "orders", 2));
+    put_store_item("op/config", written);
+}
+
+void fleet::write_idle_limit(int version, std::chrono::milliseconds limit,
+                             int unused_routes) const
+{
+    json written = configuration(version);
+    for (int unused = 0; unused < unused_routes; ++unused)
+    {
+        const std::string name = "unused-" + std::to_string(unused);
+        written["routes"].push_back(
+            route(name, "/" + name + "/", "idempotent", "orders", 2));
+    }
+    written["limits"]["idleTimeoutMs"] = limit.count();
+    put_store_item("op/config", written);
 }
 
 json fleet::engine_counts(int engine) const
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -117,6 +117,10 @@
     // Writes the configuration with this version to the store. `extra_route` is the path
     // prefix of one more route; none if empty.
     void write_configuration(int version, const std::string& extra_route = "") const;
+    // Writes a configuration with this limit on the idle time of callers' connections,
+    // and with a number of further routes that no request uses.
+    void write_idle_limit(int version, std::chrono::milliseconds limit,
+                          int unused_routes = 0) const;
 
     // Sends a request to a plain service through the platform's own interface.
     http_response send_platform_request(int daemon, const std::string& request_id,
@@ -155,6 +159,7 @@
     // them to this daemon.
     void start_link_proxies();
     void start_service_endpoints();
+    nlohmann::json configuration(int version) const;
     nlohmann::json engine_entry(int engine, const std::string& state) const;
     std::map<std::string, std::string>
     platform_chat_fields(const std::string& request_id, const std::string& model) const;
