Don't refuse a request as too slow while its rest lies unread

A caller whose request had arrived as a whole got a 408: the header timeout was judged by the bytes that this process had read, at a time when it had been paused or busy in a long turn, and the rest of the request lay in its socket. A 408 is a promise that the request didn't run, so it was safe to repeat, but the caller lost an attempt and its connection for nothing that it did.

Before a request is refused, the server now reads what has arrived on its connection, as it does before it ends an idle one, and refuses the request only if it is still incomplete. What has arrived is bounded by the socket's buffer, so a caller can't put the limit off by sending on slowly.

Ruled out: the reading before timers alone, since a timer may run long after that reading, behind others in the same turn. Not covered: a body that is larger than the socket's buffer and still waits at its sender.

--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -276,6 +276,25 @@
     return context_.loop.now() - connection.idle_since > connection.idle_timeout;
 }
 
+bool http_server::is_too_slow(const caller_connection& connection) const
+{
+    return connection.request_started && !connection.request_in_progress &&
+           context_.loop.now() - connection.idle_since >
+               configured_limits().header_timeout;
+}
+
+void http_server::refuse_if_slow(stream_id id)
+{
+    context_.loop.read_arrived(id);
+    const auto found = connections_.find(id.value);
+    if (found == connections_.end() || !is_too_slow(found->second))
+        return;
+    found->second.request_in_progress = true;
+    found->second.keep_alive = false;
+    send_error(id, not_run_failure(status_timeout, "request_timeout",
+                                   "the request didn't arrive in time"));
+}
+
 void http_server::end_if_idle(stream_id id, bool all)
 {
     context_.loop.read_arrived(id);
@@ -299,8 +318,7 @@
     {
         if (connection.request_in_progress)
             continue;
-        const auto age = context_.loop.now() - connection.idle_since;
-        if (connection.request_started && age > configured.header_timeout)
+        if (is_too_slow(connection))
             slow.push_back({id});
         if (connection.request_started)
             continue;
@@ -315,12 +333,7 @@
     for (const stream_id id : idle)
         end_if_idle(id, all);
     for (const stream_id id : slow)
-    {
-        connections_.at(id.value).request_in_progress = true;
-        connections_.at(id.value).keep_alive = false;
-        send_error(id, not_run_failure(status_timeout, "request_timeout",
-                                       "the request didn't arrive in time"));
-    }
+        refuse_if_slow(id);
 }
 
 } // namespace pollenhaven
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -104,7 +104,9 @@
     // Prepares the connection for the next request.
     void become_idle(caller_connection& connection) const;
     bool is_idle_too_long(const caller_connection& connection) const;
+    bool is_too_slow(const caller_connection& connection) const;
     void end_if_idle(stream_id id, bool all);
+    void refuse_if_slow(stream_id id);
     caller_limits configured_limits() const;
     message_limits limits() const;
 
--- a/tests/contract/caller_connections_test.cpp
+++ b/tests/contract/caller_connections_test.cpp
@@ -220,6 +220,30 @@
     BOOST_TEST(test.server.connections() == 0U);
 }
 
+// Guards against a request that is refused as too slow although its rest has arrived.
+BOOST_AUTO_TEST_CASE(a_request_whose_rest_lies_unread_is_not_too_slow)
+{
+    server_fixture test;
+    test.set_limits(seconds(10), milliseconds(50));
+    caller in_time = test.connect();
+    caller too_slow = test.connect();
+    for (const caller* one : {&in_time, &too_slow})
+        one->send("POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 50000\r\n\r\n");
+    test.run_for(milliseconds(10));
+    test.act_after(milliseconds(100),
+                   [&]
+                   {
+                       in_time.send(std::string(50000, 'x'));
+                       too_slow.send(std::string(49999, 'x'));
+                       test.server.close_idle(false);
+                   });
+    test.run_for(milliseconds(20));
+    in_time.receive();
+    too_slow.receive();
+    BOOST_TEST(in_time.received.starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(too_slow.received.starts_with("HTTP/1.1 408 "));
+}
+
 // Guards against callers that don't know how long they may use a connection: the stated
 // time leaves a fifth of the limit for the request's way.
 BOOST_AUTO_TEST_CASE(responses_state_how_long_their_connection_may_stay_idle)
