Don't parse the next request of a caller that doesn't read its responses

A caller could send request after request on one connection and read nothing: each request was answered, and the responses were kept as output without a bound. 100 small requests with a response of 1 MB each made the daemon hold 100 MB in half a second; the same works with small errors of the daemon itself, which need no endpoint. A process above the memory of its instance is killed, with all requests in progress.

Cause: the next request was parsed as soon as the response to the last one was complete, whether or not the caller had taken any of it. Only the kernel's limit on unacknowledged data ended that, after four seconds, and not if the caller reads slowly.

Now the next request isn't parsed while more than 64 KB of earlier responses are unread; reading is paused, so the caller has to wait, and the caller's progress is checked every 20 ms, as for streams.

Evidence: a_caller_that_reads_no_response_gets_no_further_ones failed before ("100 > 16" responses while nothing was read), and passed 20 of 20 times after, with all 100 responses once the caller reads. The whole contract test passed once. Not bounded by this: one response of up to 8 MB for each of many callers that don't read.

--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -182,7 +182,8 @@
 void event_loop::set_reading_paused(stream_id id, bool paused, bool ends_while_paused)
 {
     const auto found = streams_.find(id.value);
-    if (found == streams_.end() || found->second.reading_paused == paused)
+    if (found == streams_.end() || (found->second.reading_paused == paused &&
+                                    found->second.ends_while_paused == ends_while_paused))
         return;
     found->second.reading_paused = paused;
     found->second.ends_while_paused = ends_while_paused;
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -22,6 +22,10 @@
 // Bytes of later requests that are read while a request is in progress. The rest stays
 // in the kernel, whose window makes the caller wait.
 constexpr std::size_t max_read_ahead_bytes = 65536;
+// A caller's next request isn't parsed while it has this much left to read of earlier
+// responses. Its progress is checked at this interval.
+constexpr std::size_t max_unread_response_bytes = 65536;
+constexpr milliseconds caller_progress_interval{20};
 // Bytes that the requests of all connections may hold, complete or not. The daemon may
 // hold a request four times while it is passed on: parsed and encoded, each in a buffer
 // with room for twice as much.
@@ -113,6 +117,11 @@
             context_.loop.pause_reading_while_open(id);
         return;
     }
+    if (context_.loop.pending_output(id) > max_unread_response_bytes)
+    {
+        context_.loop.pause_reading(id);
+        return read_later(id, caller_progress_interval);
+    }
     context_.loop.resume_reading(id);
     if (!connection.request_started)
         connection.idle_since = context_.loop.now();
@@ -340,7 +349,12 @@
         return;
     // The next request is read from a timer, because a series of pipelined requests would
     // otherwise recurse.
-    context_.loop.schedule_after(milliseconds(0),
+    read_later(id, milliseconds(0));
+}
+
+void http_server::read_later(stream_id id, milliseconds delay)
+{
+    context_.loop.schedule_after(delay,
                                  [this, id]
                                  {
                                      if (connections_.contains(id.value))
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -101,6 +101,8 @@
     void on_readable(stream_id id);
     void on_ended(stream_id id);
     void read_next(stream_id id);
+    // Reads the next request from the input after the delay.
+    void read_later(stream_id id, milliseconds delay);
     read_state parse(stream_id id);
     void count_held_bytes(stream_id id);
     // Returns true if all connections together hold too much for one of this size.
--- a/tests/contract/caller_limits_test.cpp
+++ b/tests/contract/caller_limits_test.cpp
@@ -143,4 +143,39 @@
     BOOST_TEST(contains(test.received, "data: a"));
 }
 
+// Guards against a daemon whose memory is filled by the responses to one caller that
+// sends request after request and reads nothing.
+BOOST_AUTO_TEST_CASE(a_caller_that_reads_no_response_gets_no_further_ones)
+{
+    constexpr std::size_t response_bytes = megabyte;
+    constexpr int requests = 100;
+    // What the kernel's buffers hold on both sides, and the daemon itself.
+    constexpr int max_responses = 16;
+    flow_fixture test;
+    int responses = 0;
+    std::optional<http_server> server;
+    server.emplace(
+        test.context,
+        [&](stream_id caller, const http_head&, const std::string&)
+        {
+            ++responses;
+            server->send_response(caller, 200, "", std::string(response_bytes, 'x'));
+        },
+        [](stream_id) {});
+    test.address = free_address();
+    server->listen(test.address);
+    const stream_id caller = test.connect();
+    test.context.loop.pause_reading(caller);
+    for (int request = 0; request < requests; ++request)
+        test.context.loop.send(caller, post_request("/"));
+    test.run_until([&] { return responses == requests; }, milliseconds(500));
+    BOOST_TEST(responses <= max_responses);
+    // Once the caller reads, all of its requests are answered.
+    test.context.loop.resume_reading(caller);
+    test.run_until([&] { return test.received.size() > requests * response_bytes; },
+                   seconds(5));
+    BOOST_TEST(responses == requests);
+    BOOST_TEST(test.received.size() > requests * response_bytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
