Limit the store's responses to 8 MB, and list again after changes beyond

A response of the store was read up to 64 MB, on each of the daemon's connections to it. Buffers of up to twice that size and the parsed JSON come on top, while an instance has 160 to 260 MB: a watch that answers without an end, or with many large changes at once, could end the process, and again after each restart.

Cause: the client of the store used the general limit of the reader. The pages of a listing have about 1 MB and one value of up to 1 MB, but nothing limits what a watch may have missed.

Now a body above 8 MB is given up. A watch whose changes are too long lists its keys again, after the usual retry delay: asking for the same changes again would bring the same response. Engines' reports are read by the same client and are far shorter.

A page above the limit is retried with the usual delay, as a failed one.

--- a/servers/gateway/http_client.cpp
+++ b/servers/gateway/http_client.cpp
@@ -3,6 +3,22 @@
 namespace pollenhaven
 {
 
+namespace
+{
+
+// The longest body of a response that is read. The store's pages have 1 MB and one value,
+// engines' reports less.
+constexpr std::size_t max_response_bytes = 8UL << 20U;
+
+message_limits response_limits()
+{
+    message_limits limits;
+    limits.body_bytes = max_response_bytes;
+    return limits;
+}
+
+} // namespace
+
 http_client::http_client(event_loop& loop, network_address address)
     : loop_(loop), address_(std::move(address))
 {
@@ -49,7 +65,7 @@
         handlers.ended = [this](stream_id, stream_end end) { on_ended(end); };
         stream_ = loop_.connect(address_, std::move(handlers));
     }
-    reader_.emplace(http_reader::message_kind::response, message_limits{});
+    reader_.emplace(http_reader::message_kind::response, response_limits());
     loop_.send(stream_, current_call_->bytes);
     timeout_timer_ = loop_.schedule_after(current_call_->timeout,
                                           [this]
@@ -74,6 +90,7 @@
         return;
     http_result result;
     result.has_response = state == read_state::complete;
+    result.is_too_long = reader_->error() == read_error::body_too_large;
     result.status = reader_->head().status;
     result.head = reader_->head();
     result.body = std::move(reader_->body);
--- a/servers/gateway/http_client.hpp
+++ b/servers/gateway/http_client.hpp
@@ -19,6 +19,8 @@
     bool has_response = false;
     // True if no byte of the call was sent, so that it can't have been executed.
     bool not_sent = false;
+    // True if the response was given up because it is longer than the client reads.
+    bool is_too_long = false;
     int status = 0;
     http_head head;
     std::string body;
--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -222,6 +222,13 @@
         context_.log.write("store history lost", {{"prefix", prefix_}});
         return list_again();
     }
+    if (result.is_too_long)
+    {
+        // The pages of a listing are limited, unlike the changes that a watch may have
+        // missed.
+        loaded_ = false;
+        return retry("changes too long", result.status);
+    }
     if (result.has_response && is_in_older_era())
         return list_again();
     if (!result.has_response || result.status != status_ok)
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -105,6 +105,9 @@
     // Changes with which the next watch is answered.
     std::map<std::string, std::uint64_t> changes;
     int listings = 0;
+    // The next watch is answered without an end.
+    bool has_endless_watch = false;
+    std::size_t endless_bytes = 0;
 
     explicit scripted_store(event_loop& shared_loop) : loop(shared_loop)
     {
@@ -126,11 +129,30 @@
         return "[" + text + "]";
     }
 
+    // Keeps the connection full until the daemon closes it.
+    void send_endlessly(stream_id to)
+    {
+        constexpr std::size_t block_size = 65536;
+        constexpr std::size_t max_pending = 4 * block_size;
+        while (loop.is_open(to) && loop.pending_output(to) < max_pending)
+        {
+            loop.send(to, std::string(block_size, ' '));
+            endless_bytes += block_size;
+        }
+        if (loop.is_open(to))
+            loop.schedule_after(milliseconds(1), [this, to] { send_endlessly(to); });
+    }
+
     void answer(stream_id from)
     {
         const std::string request = std::exchange(loop.input(from), "");
         const bool is_listing = request.find("kv-range") != std::string::npos;
         listings += is_listing ? 1 : 0;
+        if (!is_listing && std::exchange(has_endless_watch, false))
+        {
+            loop.send(from, "HTTP/1.1 200 OK\r\nStore-Era: " + era + "\r\n\r\n");
+            return send_endlessly(from);
+        }
         if (!is_listing && changes.empty())
             return;
         const std::string body = R"({"items":)" + list(items) + R"(,"events":)" +
@@ -317,4 +339,23 @@
     BOOST_TEST(store.listings == 2);
 }
 
+// Guards against a daemon whose memory is filled by a response of the store that doesn't
+// end, and against changes that are lost because the response that had them was too long.
+BOOST_FIXTURE_TEST_CASE(a_watch_response_without_end_leads_to_a_listing, listed_watch)
+{
+    // What the kernel's buffers hold on both sides, and the daemon itself.
+    constexpr std::size_t max_taken_bytes = 32UL << 20U;
+    store.has_endless_watch = true;
+    store.items = {{"op/a", 40}, {"op/c", 60}};
+    store.revision = 60;
+    // The watch that waits is sent again.
+    context.store_silence_ended = context.loop.now() + seconds(1);
+    run_until([this] { return has_received("op/c", false); }, seconds(4));
+    BOOST_TEST(store.endless_bytes > 0U);
+    BOOST_TEST(store.endless_bytes < max_taken_bytes);
+    BOOST_TEST(store.listings == 2);
+    BOOST_TEST(has_received("op/b", true));
+    BOOST_TEST(has_received("op/c", false));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
