Don't read late bytes of one answer and the head of the next as one answer

An endpoint may send bytes after an answer, and stop inside them. If they arrive once the next request was sent on that connection, they stand in front of its answer. Where they ended inside a status line or in the value of a field, the reader took the status line that followed for the rest of that text, and all later fields for fields of the same head.

A response is now malformed if its reason or the value of a field contains another response's version and status. The attempt then counts as one that may have run, like any other bytes that aren't a response: it is repeated where the route allows it, and gets 502 elsewhere.

Cuts after the field with the earlier id were recognised as another request's answer before, and cuts inside the name of a field or in a length were malformed before.

--- a/servers/gateway/http_reader.cpp
+++ b/servers/gateway/http_reader.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <optional>
 
 namespace pollenhaven
@@ -62,6 +63,37 @@
             {std::string(field.name_string()), std::string(field.value())});
 }
 
+bool is_digit(char byte)
+{
+    return byte >= '0' && byte <= '9';
+}
+
+// Returns true if the text contains the version and status of another response, such as
+// "HTTP/1.1 200".
+bool contains_status_line(std::string_view text)
+{
+    constexpr std::string_view version = "HTTP/1.";
+    constexpr std::string_view rest = "1 200";
+    for (std::size_t at = text.find(version); at != std::string_view::npos;
+         at = text.find(version, at + 1))
+    {
+        const std::string_view tail = text.substr(at + version.size(), rest.size());
+        if (tail.size() == rest.size() && is_digit(tail[0]) && tail[1] == ' ' &&
+            std::all_of(tail.begin() + 2, tail.end(), is_digit))
+            return true;
+    }
+    return false;
+}
+
+// Returns true if a response begins inside the head of this one, which was cut off there.
+bool contains_other_response(std::string_view reason, const http_head& head)
+{
+    return contains_status_line(reason) ||
+           std::any_of(head.fields.begin(), head.fields.end(),
+                       [](const http_field& field)
+                       { return contains_status_line(field.value); });
+}
+
 template <class Parser> read_state state_of(const Parser& parser)
 {
     return parser.is_done() ? read_state::complete : read_state::partial;
@@ -122,7 +154,13 @@
     const bool head_done = parser_->request ? parser_->request->is_header_done()
                                             : parser_->response->is_header_done();
     if (head_done && !has_head_)
+    {
         take_head();
+        if (parser_->response &&
+            contains_other_response(std::string(parser_->response->get().reason()),
+                                    head_))
+            return fail(static_cast<int>(http::error::bad_reason));
+    }
     if (error)
         return fail(error.value());
     // What is left of the input is an incomplete head, chunk head or trailer.
--- a/servers/gateway/http_reader.hpp
+++ b/servers/gateway/http_reader.hpp
@@ -52,7 +52,8 @@
     http_reader& operator=(http_reader&&) noexcept;
 
     // Consumes the bytes of the message from the front of the input. Leaves the bytes
-    // after the end of the message.
+    // after the end of the message. A response in whose head another one begins is
+    // malformed: the two would be read as one.
     read_state read(std::string& input);
     // Handles the end of the connection, which completes a response body without a
     // length. Any other incomplete message is malformed.
