Leave a stream at its engine through a pause of a second or so

A resumable stream without new bytes for 1.2 s was reset at its engine and resumed at another one. A sound engine may fall silent for a second or so and go on: its stream then ran a second time elsewhere, which takes a place from other callers, counts as a failure of a sound engine, and uses up the only repetition that such a route often allows. The limit is now 1.6 s. Callers give up after a gap of two seconds at the earliest, so 0.4 s remain for the first event of the other engine. The check also runs at the moment at which the limit is reached; before, it could be up to 0.2 s late, because a check was never scheduled less than 0.2 s ahead, and that would have used up half of what remains.

The process test of silent connections (connection_test) passed, run once. Weighed: a limit that grows with the route's target (its callers wait longer, but for nothing if the engine is dead), and probes of the silent engine (they can't tell one silent connection from a silent engine).

--- a/servers/gateway/request_flow_streams.cpp
+++ b/servers/gateway/request_flow_streams.cpp
@@ -10,15 +10,17 @@
 namespace
 {
 
-// A resumable stream without new bytes for this time is resumed at another endpoint. Busy
-// engines pause for a third of a second; callers wait for two seconds or more.
-constexpr milliseconds stream_stall_timeout{1200};
+// A resumable stream without new bytes for this time is resumed at another endpoint. A
+// sound engine may fall silent for a second or so; callers wait for two seconds or more,
+// and the rest is for the first event of the other endpoint.
+constexpr milliseconds stream_stall_timeout{1600};
 // Limit on what an endpoint can make the daemon hold of one event.
 constexpr std::size_t max_event_bytes = 1UL << 20U;
 // A stream is paused while its caller has this much left to read, and resumed at half of
 // it. The caller's progress is checked at this interval.
 constexpr std::size_t max_unread_stream_bytes = 256UL << 10U;
 constexpr milliseconds caller_progress_interval{20};
+// A stream that has stalled and stays where it is is checked again at this interval.
 constexpr milliseconds stall_check_interval{200};
 
 // Whether a stream whose framing says that it is complete may end here. Framing alone
@@ -152,8 +154,8 @@
         return;
     const exchange_id id = exchange.id;
     const instant due = exchange.last_chunk_at + stream_stall_timeout;
-    const instant next_check = context_.loop.now() + stall_check_interval;
-    exchange.timer = context_.loop.schedule(std::max(due, next_check),
+    const instant now = context_.loop.now();
+    exchange.timer = context_.loop.schedule(due > now ? due : now + stall_check_interval,
                                             [this, id] { check_stall(id); });
 }
 
--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -149,6 +149,8 @@
     // How the caller's connection ended, if it did.
     stream_end caller_end = stream_end::failed;
     int disconnected_callers = 0;
+    // How long send_request() waits for the end of a response.
+    milliseconds time_limit{2500};
     std::vector<load_request_message> load_requests;
     // What the request permits sent to all peers.
     std::vector<fleet_message> broadcasts;
@@ -289,7 +291,7 @@
                 flow.dispatch_waiting();
                 return ended || (flow.requests_in_flight() == 0 && !received.empty());
             },
-            milliseconds(2500));
+            time_limit);
         run_until([] { return false; }, milliseconds(30));
         context.loop.close(caller);
         return received;
