End a connection after a response only if the response's head said so

At SIGTERM callers lost requests that the daemon had read. A response whose head was sent before SIGTERM said that its connection stays open, and the daemon closed it all the same at the response's end; the next request of that caller was read and thrown away, either behind the response or in the half second in which the daemon reads on. The same happened to a request that had arrived before the head of the response in front of it was sent.

Whether a connection ends is now decided once, when the head is sent, and what the head says holds. While the daemon stops, each head says close unless the caller's next request has arrived, which is then answered first. A connection that stays open so is ended in order once it is idle, like any other.

What remains, by HTTP/1.1: a caller that sends on behind a head which says close knows that the request isn't run. That holds for each response without a length, since only the end of its connection ends it; giving it chunks instead would make a response that was cut off look whole.

--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -354,6 +354,13 @@
         read_stream(id);
 }
 
+bool event_loop::has_input(stream_id id) const
+{
+    const auto found = streams_.find(id.value);
+    return found != streams_.end() &&
+           (!found->second.input.empty() || unread_bytes(found->second.socket) > 0);
+}
+
 void event_loop::write_stream(stream_id id)
 {
     const auto found = streams_.find(id.value);
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -82,6 +82,9 @@
     // Reads what has arrived on the stream by now, with its handlers, rather than in the
     // next iteration. Does nothing if the stream is closed.
     void read_arrived(stream_id id);
+    // Returns true if the stream is open and has bytes that were read and not consumed,
+    // or that lie unread.
+    bool has_input(stream_id id) const;
     // Returns the number of bytes that were not passed to the kernel yet; 0 if the stream
     // is closed.
     std::size_t pending_output(stream_id id) const;
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -150,9 +150,12 @@
     return "HTTP/1.1 " + std::to_string(status) + " " + std::string(reason) + "\r\n";
 }
 
-std::string http_server::connection_fields(const caller_connection& connection) const
+std::string http_server::connection_fields(stream_id id,
+                                           caller_connection& connection) const
 {
-    if (!connection.keep_alive || context_.leaving)
+    if (context_.leaving && !context_.loop.has_input(id))
+        connection.keep_alive = false;
+    if (!connection.keep_alive)
         return "Connection: close\r\n";
     const seconds stated = std::chrono::floor<seconds>(configured_limits().idle_timeout *
                                                        stated_idle_percent / 100);
@@ -175,7 +178,7 @@
     if (found == connections_.end())
         return;
     context_.loop.send(
-        caller, status_line(status) + fields + connection_fields(found->second) +
+        caller, status_line(status) + fields + connection_fields(caller, found->second) +
                     "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     finish_response(caller);
 }
@@ -207,9 +210,9 @@
     const bool is_chunked = framing == body_framing::chunked;
     connection.keep_alive = connection.keep_alive && is_chunked;
     context_.loop.set_reset_on_close(caller, !is_chunked);
-    context_.loop.send(caller,
-                       status_line(status) + fields + connection_fields(connection) +
-                           (is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
+    context_.loop.send(
+        caller, status_line(status) + fields + connection_fields(caller, connection) +
+                    (is_chunked ? "Transfer-Encoding: chunked\r\n\r\n" : "\r\n"));
 }
 
 void http_server::send_chunk(stream_id caller, std::string_view bytes)
@@ -244,7 +247,7 @@
 void http_server::finish_response(stream_id id)
 {
     caller_connection& connection = connections_.at(id.value);
-    if (!connection.keep_alive || context_.leaving)
+    if (!connection.keep_alive)
     {
         connections_.erase(id.value);
         return context_.loop.close_after_output(id);
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -82,6 +82,7 @@
         bool is_from_peer = false;
         // True from the time at which a request is complete to the end of its response.
         bool request_in_progress = false;
+        // False if the connection ends after the response to the current request.
         bool keep_alive = true;
         // The time at which the connection became idle or, once a request has started to
         // arrive, the time at which its first bytes arrived.
@@ -100,7 +101,11 @@
     void refuse_malformed(stream_id id, const http_reader& reader);
     void finish_response(stream_id id);
     std::string status_line(int status) const;
-    std::string connection_fields(const caller_connection& connection) const;
+    // Decides whether the connection ends after the response whose head is sent now, and
+    // returns the fields of that head that say so. A caller goes by them, so what is
+    // decided holds. While the daemon stops, each connection ends so, but for those whose
+    // next request has arrived.
+    std::string connection_fields(stream_id id, caller_connection& connection) const;
     // Prepares the connection for the next request.
     void become_idle(caller_connection& connection) const;
     bool is_idle_too_long(const caller_connection& connection) const;
--- a/tests/contract/caller_connections_test.cpp
+++ b/tests/contract/caller_connections_test.cpp
@@ -244,6 +244,74 @@
     BOOST_TEST(too_slow.received.starts_with("HTTP/1.1 408 "));
 }
 
+// Guards against requests that are read and thrown away at SIGTERM: their callers send
+// the next request before the response to the last is whole, whose head was sent before
+// SIGTERM or after it.
+BOOST_AUTO_TEST_CASE(requests_behind_the_one_in_progress_at_sigterm_are_answered)
+{
+    for (const bool head_before : {true, false})
+    {
+        BOOST_TEST_CONTEXT("head before SIGTERM: " << head_before)
+        {
+            server_fixture test;
+            std::vector<stream_id> handled;
+            test.respond = [&](stream_id id) { handled.push_back(id); };
+            caller pipelining = test.connect();
+            pipelining.send(request);
+            test.run_for(milliseconds(10));
+            BOOST_REQUIRE(handled.size() == 1U);
+            const auto begin = [&]
+            { test.server.begin_response(handled[0], 200, "", body_framing::chunked); };
+            if (head_before)
+                begin();
+            test.run_for(milliseconds(10));
+            test.context.leaving = true;
+            pipelining.send(request);
+            test.run_for(milliseconds(10));
+            if (!head_before)
+                begin();
+            test.server.end_response(handled[0]);
+            test.run_for(milliseconds(10));
+            BOOST_REQUIRE(handled.size() == 2U);
+            test.server.send_response(handled[1], 200, "", "fine");
+            test.run_for(milliseconds(10));
+            pipelining.receive();
+            BOOST_TEST(pipelining.responses() == 2U);
+            BOOST_TEST(pipelining.received.find("Connection: close") >
+                       pipelining.received.rfind("HTTP/1.1 "));
+            BOOST_TEST(pipelining.ended);
+        }
+    }
+}
+
+// Guards against a connection that ends although its caller wasn't told so: the response
+// began before SIGTERM and ended after it, and the caller then sends its next request.
+BOOST_AUTO_TEST_CASE(a_connection_ends_after_a_response_only_if_its_head_says_so)
+{
+    server_fixture test;
+    std::vector<stream_id> handled;
+    test.respond = [&](stream_id id) { handled.push_back(id); };
+    caller streaming = test.connect();
+    streaming.send(request);
+    test.run_for(milliseconds(10));
+    BOOST_REQUIRE(handled.size() == 1U);
+    test.server.begin_response(handled[0], 200, "", body_framing::chunked);
+    test.run_for(milliseconds(10));
+    test.context.leaving = true;
+    test.server.end_response(handled[0]);
+    test.run_for(milliseconds(10));
+    streaming.receive();
+    BOOST_TEST(!streaming.ended);
+    streaming.send(request);
+    test.run_for(milliseconds(10));
+    BOOST_REQUIRE(handled.size() == 2U);
+    test.server.send_response(handled[1], 200, "", "fine");
+    test.run_for(milliseconds(10));
+    streaming.receive();
+    BOOST_TEST(streaming.responses() == 2U);
+    BOOST_TEST(streaming.ended);
+}
+
 // Guards against callers that don't know how long they may use a connection: the stated
 // time leaves a fifth of the limit for the request's way.
 BOOST_AUTO_TEST_CASE(responses_state_how_long_their_connection_may_stay_idle)
