--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -223,7 +223,7 @@
     {
         // The pages of a listing are limited, unlike the changes that a watch may have
         // missed.
-        loaded_ = false;
+        call_.is_loaded = false;
         return retry("changes too long", result.status);
     }
     if (result.has_response && is_in_older_era())
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -366,7 +366,7 @@
     store.items = {{"op/a", 40}, {"op/c", 60}};
     store.revision = 60;
     // The watch that waits is sent again.
-    context.store_silence_ended = context.loop.now() + seconds(1);
+    context.store.silence_ended = context.loop.now() + seconds(1);
     run_until([this] { return has_received("op/c", false); }, seconds(4));
     BOOST_TEST(store.endless_bytes > 0U);
     BOOST_TEST(store.endless_bytes < max_taken_bytes);
