Don't end an idle connection while its last response lies in the kernel

A caller that reads a long response slowly could lose the rest of it: once the daemon had passed all of it to the kernel, the connection counted as idle and was ended, and if the caller then sent its next request, closing the socket with that request unread reset the connection and discarded the response in the kernel's buffer.

A connection whose caller hasn't confirmed all bytes (SIOCOUTQ) isn't idle, and its idle time starts anew. The question is asked only of connections that are about to be ended, so it costs no system calls for the others.

Ruled out: the loop's own buffer, which was empty in the test before the change. Not covered: a response whose head says close, which is followed by half a second of reading on; its caller knows not to send.

--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -1,5 +1,6 @@
 #include "servers/gateway/event_loop.hpp"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/epoll.h>
 #include <sys/ioctl.h>
@@ -51,14 +52,24 @@
     return errno == EAGAIN || errno == EWOULDBLOCK || errno == EINTR;
 }
 
-std::size_t unread_bytes(const file_descriptor& socket)
+std::size_t queued_bytes(const file_descriptor& socket, unsigned long queue)
 {
     int bytes = 0;
-    if (ioctl(socket.number(), FIONREAD, &bytes) != 0)
+    if (ioctl(socket.number(), queue, &bytes) != 0)
         return 0;
     return static_cast<std::size_t>(std::max(bytes, 0));
 }
 
+std::size_t unread_bytes(const file_descriptor& socket)
+{
+    return queued_bytes(socket, SIOCINQ);
+}
+
+std::size_t unconfirmed_bytes(const file_descriptor& socket)
+{
+    return queued_bytes(socket, SIOCOUTQ);
+}
+
 std::chrono::nanoseconds thread_processor_time()
 {
     timespec used{};
@@ -228,6 +239,13 @@
                                    : found->second.output.size() - found->second.written;
 }
 
+bool event_loop::has_undelivered_output(stream_id id) const
+{
+    const auto found = streams_.find(id.value);
+    return found != streams_.end() &&
+           (pending_output(id) > 0 || unconfirmed_bytes(found->second.socket) > 0);
+}
+
 bool event_loop::has_written(stream_id id) const
 {
     const auto found = streams_.find(id.value);
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -88,6 +88,8 @@
     // Returns the number of bytes that were not passed to the kernel yet; 0 if the stream
     // is closed.
     std::size_t pending_output(stream_id id) const;
+    // Returns true if the stream is open and its peer hasn't confirmed all of its output.
+    bool has_undelivered_output(stream_id id) const;
     // Returns true once any byte of the current output has been passed to the kernel.
     // Until then the peer can't have received any of it. The current output begins with
     // the first send() after all earlier output was written.
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -305,8 +305,15 @@
     if (found == connections_.end() || found->second.request_started ||
         !(all || is_idle_too_long(found->second)))
         return;
-    // A request has just been answered, or the next one has been read with it.
-    if (context_.loop.pending_output(id) > 0 || !context_.loop.input(id).empty())
+    // A caller that still reads its last response hasn't become idle. Ending its
+    // connection could reset it, and so throw the rest of the response away.
+    if (context_.loop.has_undelivered_output(id))
+    {
+        found->second.idle_since = context_.loop.now();
+        return;
+    }
+    // The next request has been read together with the last one.
+    if (!context_.loop.input(id).empty())
         return;
     connections_.erase(found);
     context_.loop.end_unread(id);
@@ -327,10 +334,7 @@
             continue;
         connection.idle_timeout =
             std::max(connection.idle_timeout, configured.idle_timeout);
-        // A caller that still reads its last response hasn't become idle.
-        if (context_.loop.pending_output({id}) > 0)
-            connection.idle_since = context_.loop.now();
-        else if (all || is_idle_too_long(connection))
+        if (all || is_idle_too_long(connection))
             idle.push_back({id});
     }
     for (const stream_id id : idle)
--- a/tests/contract/caller_connections_test.cpp
+++ b/tests/contract/caller_connections_test.cpp
@@ -197,6 +197,35 @@
     }
 }
 
+// Guards against a response that is cut short in the kernel: the daemon has written all
+// of it, and its caller reads it slowly and sends the next request meanwhile.
+BOOST_AUTO_TEST_CASE(a_response_that_lies_in_the_kernel_is_not_cut_short)
+{
+    // Less than the buffers of two sockets hold, more than that of one.
+    constexpr std::size_t body_size = 1UL << 20U;
+    server_fixture test;
+    test.set_limits(milliseconds(50));
+    test.respond = [&](stream_id id)
+    { test.server.send_response(id, 200, "", std::string(body_size, 'x')); };
+    caller slow = test.connect();
+    slow.send(request);
+    test.run_for(milliseconds(20));
+    test.act_after(milliseconds(100),
+                   [&]
+                   {
+                       test.server.close_idle(false);
+                       slow.send(request);
+                   });
+    test.run_for(seconds(1));
+    for (int turn = 0; turn < 500 && slow.received.size() < body_size; ++turn)
+    {
+        slow.receive();
+        test.run_for(milliseconds(1));
+    }
+    BOOST_TEST(slow.received.size() > body_size);
+    BOOST_TEST(!slow.was_reset);
+}
+
 // Guards against a request whose fate is unclear because it crossed the end of its idle
 // connection: it isn't read after that end, which is an orderly one.
 BOOST_AUTO_TEST_CASE(a_request_that_crosses_the_end_of_its_connection_is_not_read)
