Leave out one odd item of a page instead of asking for the page for ever

Callers would see a daemon that never becomes ready, or serves an old configuration and endpoints that are gone: one item with a value that isn't base64, a revision that isn't an integer or no key made the daemon refuse the page and ask for it again, so that it followed the list no more. The same for the claims and the records of streams. A key with a space or a line break, which another writer may choose, ended the request line of the call that continues a listing after it. A key shorter than the watched prefix would have ended the process in its reader.

Cause: a page was read as a whole, and keys went into calls as they were.

Now an item without a readable key or revision is left out of its page, and one whose value can't be read is kept with an empty value, so each reader takes it for an entry that names nothing, at its position. The reasons come with the page and are logged, each once and a hundred at most for each list. Keys are percent-encoded in calls; ordinary keys give the same bytes as before. Items outside of the watched prefix are ignored, from the store and from peers.

Ruled out: taking an odd item for a removal, since a claim of its key needs its revision.

--- a/core/interfaces/platform_dialect.hpp
+++ b/core/interfaces/platform_dialect.hpp
@@ -152,9 +152,16 @@
 // One page of the store's items or of their changes.
 struct store_page
 {
+    // An item whose value can't be read has an empty value.
     std::vector<store_item> items;
+    // What is wrong with items that can't be read. Those without a key or revision are
+    // left out of `items`.
+    std::vector<std::string> faults;
     // Further pages follow.
     bool more = false;
+    // The last key of the page, after which the next one begins; also that of an item
+    // that is left out.
+    std::string last_key;
     // The store's revision at the time of its response.
     store_revision current;
 };
--- a/servers/gateway/idempotency_claims.cpp
+++ b/servers/gateway/idempotency_claims.cpp
@@ -226,10 +226,10 @@
                 for (const store_transaction& removal : expired_claim_removals(
                          page.items, wall_clock_milliseconds(), retention))
                     write_with_retry(removal);
-                if (!page.more || page.items.empty())
+                if (!page.more)
                     return;
                 removal_in_progress_ = true;
-                remove_expired_claims_after(page.items.back().key);
+                remove_expired_claims_after(page.last_key);
             }
             catch (const dialect_error& error)
             {
--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -25,6 +25,8 @@
 // time each time.
 constexpr milliseconds min_call_age{1000};
 constexpr int max_doublings = 3;
+// Each fault is logged once, as listings are repeated. Further ones are not logged.
+constexpr std::size_t max_logged_faults = 100;
 
 } // namespace
 
@@ -146,6 +148,7 @@
     {
         const store_page page = context_.dialect.read_page(result.body);
         on_store_response();
+        log_faults(page);
         if (!listing_position_)
             listing_position_ = {context_.fleet.era, page.current};
         if (listing_position_->era != context_.fleet.era)
@@ -157,8 +160,8 @@
             newest_change_ = std::max(newest_change_, position_of(item));
             apply(item);
         }
-        if (page.more && !page.items.empty())
-            return read_page(page.items.back().key);
+        if (page.more)
+            return read_page(page.last_key);
         finish_listing();
     }
     catch (const dialect_error& error)
@@ -180,8 +183,19 @@
     wait_for_changes();
 }
 
+void store_watch::log_faults(const store_page& page)
+{
+    for (const std::string& fault : page.faults)
+        if (logged_faults_.size() < max_logged_faults &&
+            logged_faults_.insert(fault).second)
+            context_.log.write("store item malformed",
+                               {{"prefix", prefix_}, {"reason", fault}});
+}
+
 void store_watch::apply(const store_item& item)
 {
+    if (!item.key.starts_with(prefix_))
+        return;
     const store_position position = position_of(item);
     const auto found = positions_.find(item.key);
     if (found != positions_.end() && position <= found->second)
@@ -230,6 +244,7 @@
     {
         const store_page page = context_.dialect.read_watch(result.body);
         on_store_response();
+        log_faults(page);
         for (store_item item : page.items)
         {
             item.era = context_.fleet.era;
--- a/servers/gateway/store_watch.hpp
+++ b/servers/gateway/store_watch.hpp
@@ -64,6 +64,8 @@
     void wait_for_changes();
     void on_changes(const http_result& result);
     void apply(const store_item& item);
+    // Logs the items of the page that can't be read, unless they have been logged before.
+    void log_faults(const store_page& page);
     void retry(const std::string& reason, int status);
     // Sends a call to the store, whose response `done` evaluates.
     void send(const outgoing_call& call, milliseconds timeout,
@@ -94,6 +96,7 @@
     std::optional<store_position> listing_position_;
     store_position known_position_;
     bool loaded_ = false;
+    std::set<std::string> logged_faults_;
     int failures_ = 0;
     // When the pending call was sent; none if no call is pending.
     std::optional<instant> call_sent_at_;
--- a/servers/gateway/stream_records.cpp
+++ b/servers/gateway/stream_records.cpp
@@ -315,10 +315,10 @@
                              if (now - first_seen > 2 * stream_lifetime)
                                  removals_.push_back(item.key);
                          }
-                         if (page.more && !page.items.empty())
+                         if (page.more)
                          {
                              listing_in_progress_ = true;
-                             return read_abandoned_page(page.items.back().key);
+                             return read_abandoned_page(page.last_key);
                          }
                          std::erase_if(seen_records_,
                                        [this](const auto& entry) {
--- a/tests/contract/odd_values_test.cpp
+++ b/tests/contract/odd_values_test.cpp
@@ -352,4 +352,75 @@
         BOOST_CHECK_THROW(read(address), settings_error);
 }
 
+// Guards against one odd item for which the whole page is refused, and asked for again
+// for ever: nobody follows the list any more.
+BOOST_AUTO_TEST_CASE(one_odd_item_of_a_page_leaves_the_others_readable)
+{
+    const platform_dialect platform = dialect();
+    const std::string good = R"({"key":"servers/i-1","revision":3,"value":"e30="})";
+    for (const std::string odd :
+         {R"({"key":"servers/i-2","revision":4,"value":"!!"})",
+          R"({"key":"servers/i-2","revision":4,"value":"***"})",
+          R"({"key":"servers/i-2","revision":4,"value":7})",
+          R"({"key":"servers/i-2","revision":4})",
+          R"({"key":"servers/i-2","revision":4,"value":"","deleted":"yes"})"})
+        for (const std::string list : {"items", "events"})
+        {
+            std::string body = "{\"currentRev\":9,\"" + list;
+            body.append("\":[").append(odd).append(",").append(good).append("]}");
+            const store_page page =
+                list == "items" ? platform.read_page(body) : platform.read_watch(body);
+            BOOST_REQUIRE_MESSAGE(page.items.size() == 2U, odd);
+            // The key names nothing that can be used.
+            BOOST_TEST(page.items.front().key == "servers/i-2", odd);
+            BOOST_TEST(page.items.front().revision.value == 4U, odd);
+            BOOST_TEST(page.items.front().value.empty(), odd);
+            BOOST_TEST(!page.items.front().deleted, odd);
+            BOOST_TEST(page.items.back().value == "{}", odd);
+            BOOST_TEST(page.faults.size() == 1U, odd);
+        }
+    for (const std::string odd :
+         {R"({"key":7,"revision":4,"value":"e30="})", R"({"key":"servers/i-2"})",
+          R"({"revision":4,"value":"e30="})",
+          R"({"key":"servers/i-2","revision":-4,"value":"e30="})",
+          R"({"key":"servers/i-2","revision":1e300,"value":"e30="})", "7", "null", "[]",
+          "{}"})
+    {
+        const store_page page = platform.read_page(R"({"currentRev":9,"items":[)" +
+                                                   std::string(odd) + "," + good + "]}");
+        BOOST_REQUIRE_MESSAGE(page.items.size() == 1U, odd);
+        BOOST_TEST(page.items.front().key == "servers/i-1", odd);
+        BOOST_TEST(page.faults.size() == 1U, odd);
+    }
+}
+
+// Guards against a listing that reads the same page again, because the last item of a
+// page can't be read.
+BOOST_AUTO_TEST_CASE(the_next_page_is_read_after_the_last_key_also_of_an_odd_item)
+{
+    const platform_dialect platform = dialect();
+    BOOST_TEST(platform
+                   .read_page(R"({"currentRev":9,"morePages":true,"items":[)"
+                              R"({"key":"a","revision":3,"value":""},)"
+                              R"({"key":"b","revision":-1,"value":""}]})")
+                   .last_key == "b");
+}
+
+// Guards against a key of another writer that ends the call in which it is named, so that
+// the list is never read to its end.
+BOOST_AUTO_TEST_CASE(an_odd_key_is_encoded_in_a_call_of_the_store)
+{
+    const platform_dialect platform = dialect();
+    const std::string plain = "servers/i-1_a.b~c";
+    BOOST_TEST(
+        platform.range_call("servers/", plain).bytes.find("after=" + plain + " ") !=
+        std::string::npos);
+    const std::string bytes =
+        platform.range_call("servers/", "servers/a b&c=d\r\nX: 1\xc3\xa9%").bytes;
+    BOOST_TEST(
+        bytes.find("after=servers/a%20b%26c%3Dd%0D%0AX%3A%201%C3%A9%25 HTTP/1.1") !=
+            std::string::npos,
+        bytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
