Stop using an endpoint whose entry has become unreadable

Callers' requests went on to an endpoint whose entry another writer had replaced by one that can't be read or whose port is out of range, although such an entry names no endpoint to use. And an id with a line break, which is the writer's to choose, would have added header fields to each request sent to the endpoint.

Cause: the watcher logged the malformed entry and kept the record of the entry before. The id goes into the header of requests and wasn't looked at.

Now a malformed entry counts as the removal of its key: nothing new is sent there, and requests in progress are treated as for an endpoint whose entry is gone. When the endpoint registers again, it is used again. The address was checked when the entry is read already, by the function with which a connect converts it.

Ruled out: the same for members. The store's lease decides about a member, and its key exists; an odd entry there is ignored as before, and no daemon claims its engines. A malformed configuration leaves the one in force, as before.

--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -112,8 +112,10 @@
     }
     catch (const std::runtime_error& error)
     {
+        // The entry may have replaced one that named an endpoint.
         context_.log.write("endpoint entry malformed",
                            {{"endpoint", id.value}, {"reason", error.what()}});
+        on_endpoint_gone(id);
     }
 }
 
--- a/tests/contract/odd_values_test.cpp
+++ b/tests/contract/odd_values_test.cpp
@@ -423,4 +423,18 @@
         bytes);
 }
 
+// Guards against an id of another writer that adds header fields to the requests sent to
+// the endpoint.
+BOOST_AUTO_TEST_CASE(an_endpoint_whose_id_is_no_header_value_is_refused)
+{
+    store_item item = endpoint_item(entry_with("slots", "1"));
+    BOOST_CHECK_NO_THROW(dialect().read_endpoint(item));
+    for (const std::string id :
+         {"", "i 1", "i\r\nX-Other: 1", "i\x7f", "\xc3\xa9", "i\t"})
+    {
+        item.key = "servers/" + id;
+        BOOST_CHECK_THROW(dialect().read_endpoint(item), dialect_error);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -162,6 +162,41 @@
     BOOST_TEST(deployment.send_openai_chat(0, "base/a1", "hello", 5).status == 200);
 }
 
+// Guards against an endpoint that stays in use although another writer has replaced its
+// entry by one that can't be read, and against one that isn't used again when it has
+// registered once more.
+BOOST_AUTO_TEST_CASE(an_engine_whose_entry_becomes_odd_gets_no_requests)
+{
+    for (const std::string odd :
+         {"not an entry", R"({"service":"assistant","addr":"127.0.0.1:99999",)"
+                          R"("state":"ready"})"})
+    {
+        const fleet deployment;
+        deployment.send_platform_chat(0, "warm-1", "a1");
+        deployment.send_platform_chat(0, "warm-2", "a2");
+        deployment.put_store_item("servers/i-0", odd);
+        std::this_thread::sleep_for(milliseconds(2000));
+        const int before = deployment.engine_counts(0)["runs"].get<int>();
+        for (int request = 0; request < 12; ++request)
+            BOOST_TEST(is_complete_stream(
+                deployment.send_platform_chat(request % 3,
+                                              "late-" + std::to_string(request),
+                                              "a" + std::to_string(request % 4)),
+                5));
+        BOOST_TEST(deployment.engine_counts(0)["runs"].get<int>() == before);
+        deployment.set_engine_state(0, "ready");
+        int request = 0;
+        BOOST_TEST(fleet::wait_for(
+            [&]
+            {
+                const std::string name = std::to_string(++request);
+                deployment.send_platform_chat(request % 3, "again-" + name, "c" + name);
+                return deployment.engine_counts(0)["runs"].get<int>() > before;
+            },
+            seconds(10)));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_engine_gets_no_requests_after_two_seconds)
 {
     const fleet deployment;
