--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -20,6 +20,8 @@
 // Spreads the calls that all daemons send again after a silence of the store.
 constexpr milliseconds pending_call_check_interval{250};
 constexpr int max_doublings = 3;
+// Each fault is logged once, as listings are repeated. Further ones are not logged.
+constexpr std::size_t max_logged_faults = 100;
 
 const char* to_text(repeat_reason reason)
 {
@@ -140,6 +142,7 @@
     {
         const store_page page = context_.dialect.read_page(result.body);
         on_store_response();
+        log_faults(page);
         if (!listing_position_)
             listing_position_ = {context_.fleet.era, page.current};
         if (listing_position_->era != context_.fleet.era)
@@ -151,8 +154,8 @@
             newest_change_ = std::max(newest_change_, position_of(item));
             apply(item);
         }
-        if (page.more && !page.items.empty())
-            return read_page(page.items.back().key);
+        if (page.more)
+            return read_page(page.last_key);
         finish_listing();
     }
     catch (const dialect_error& error)
@@ -174,8 +177,19 @@
     wait_for_changes();
 }
 
+void store_watch::log_faults(const store_page& page)
+{
+    for (const std::string& fault : page.faults)
+        if (logged_faults_.size() < max_logged_faults &&
+            logged_faults_.insert(fault).second)
+            context_.log.write("store item malformed",
+                               {{"prefix", prefix_}, {"reason", fault}});
+}
+
 void store_watch::apply(const store_item& item)
 {
+    if (!item.key.starts_with(prefix_))
+        return;
     const store_position position = position_of(item);
     const auto found = positions_.find(item.key);
     if (found != positions_.end() && position <= found->second)
@@ -234,6 +248,7 @@
     {
         const store_page page = context_.dialect.read_watch(result.body);
         on_store_response();
+        log_faults(page);
         for (store_item item : page.items)
         {
             item.era = context_.fleet.era;
--- a/servers/gateway/store_watch.hpp
+++ b/servers/gateway/store_watch.hpp
@@ -67,6 +67,8 @@
     void wait_for_changes();
     void on_changes(const http_result& result);
     void apply(const store_item& item);
+    // Logs the items of the page that can't be read, unless they have been logged before.
+    void log_faults(const store_page& page);
     void retry(const std::string& reason, int status);
     // Sends a call to the store, whose response `done` evaluates.
     void send(const outgoing_call& call, milliseconds timeout,
@@ -93,6 +95,7 @@
     // The store's position when the listing started; none before its first response.
     std::optional<store_position> listing_position_;
     watch_call call_;
+    std::set<std::string> logged_faults_;
     int failures_ = 0;
     store_position newest_change_;
 };
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -108,6 +108,8 @@
     // The next watch is answered without an end.
     bool has_endless_watch = false;
     std::size_t endless_bytes = 0;
+    // An item as the store writes it, before the others of each list. Empty: none.
+    std::string odd_item;
 
     explicit scripted_store(event_loop& shared_loop) : loop(shared_loop)
     {
@@ -120,9 +122,9 @@
                     });
     }
 
-    static std::string list(const std::map<std::string, std::uint64_t>& entries)
+    std::string list(const std::map<std::string, std::uint64_t>& entries) const
     {
-        std::string text;
+        std::string text = odd_item;
         for (const auto& [key, at] : entries)
             text += (text.empty() ? "" : ",") + (R"({"key":")" + key) +
                     R"(","value":"","revision":)" + std::to_string(at) + "}";
@@ -173,8 +175,9 @@
     std::vector<store_item> received;
     std::optional<store_watch> watch;
 
-    listed_watch()
+    explicit listed_watch(const std::string& odd_item = "")
     {
+        store.odd_item = odd_item;
         store.items = {{"op/a", 40}, {"op/b", 50}};
         store.revision = 50;
         context.settings.store_address = store.address;
@@ -375,4 +378,37 @@
     BOOST_TEST(has_received("op/c", false));
 }
 
+// Guards against an odd item of another writer that keeps a daemon from listing, or from
+// following the changes of the other keys.
+BOOST_AUTO_TEST_CASE(a_list_with_an_odd_item_is_listed_and_followed)
+{
+    for (const std::string odd : {R"({"key":"op/odd","revision":3,"value":"!!"})",
+                                  R"({"key":"op/odd","revision":-1,"value":""})",
+                                  R"({"key":7,"revision":3})", "[]"})
+    {
+        listed_watch daemon(odd);
+        BOOST_TEST(daemon.watch->is_loaded(), odd);
+        daemon.store.changes = {{"op/c", 70}};
+        daemon.store.revision = 70;
+        // The daemon sends its pending call again.
+        daemon.context.store.silence_ended = daemon.context.loop.now() + seconds(1);
+        daemon.run_until([&] { return daemon.has_received("op/c", false); },
+                         configuration_bound);
+        BOOST_TEST(daemon.has_received("op/c", false), odd);
+        BOOST_TEST((daemon.watch->known_position() == store_position{{1}, {70}}), odd);
+    }
+}
+
+// Guards against a key that is shorter than the prefix that its reader cuts off.
+BOOST_FIXTURE_TEST_CASE(a_key_outside_of_the_watched_prefix_is_ignored, listed_watch)
+{
+    watch->apply_from_peer({"o", "value", {90}, false, {1}});
+    store.changes = {{"other", 60}, {"op/c", 70}};
+    store.revision = 70;
+    context.store.silence_ended = context.loop.now() + seconds(1);
+    run_until([this] { return has_received("op/c", false); }, configuration_bound);
+    BOOST_REQUIRE(received.size() == 1U);
+    BOOST_TEST(received.front().key == "op/c");
+}
+
 BOOST_AUTO_TEST_SUITE_END()
