Don't end an answer because its endpoint is silent and nothing else can take the request

A request that may be repeated was taken from a silent endpoint after a fixed time (a stream at its stall limit, others at four times their target), whether or not anything else could take it. Where nothing could, the caller got a 502 or a stream that was cut off, although the endpoint was sound and went on a moment later. A daemon that took itself for cut off gave up all such requests in the same way, without a peer to relay them. Such an attempt is now given up only if another endpoint can take the request at that moment or load its adapter, the budget allows the repetition, and the content isn't blocked; or, for a daemon that is cut off, if there is a peer. It is looked for again every 0.2 s. The end of a stream that stays silent, 5 s so far, also was earlier than callers give up where the target is over 1.25 s; it is four targets then.

--- a/policy/fleet/wait_limits.cpp
+++ b/policy/fleet/wait_limits.cpp
@@ -11,12 +11,13 @@
 // The share of the caller's time that a request may wait for an endpoint. The rest is
 // enough to generate a response of usual length.
 constexpr double max_wait_share = 0.4;
-// Callers abandon a stream whose first event takes longer than this many times the target
-// latency, but not before two seconds. The reserve leaves the endpoint time to generate
-// the first event.
+// Callers abandon a stream after a gap of this many times the target latency, also before
+// its first event, but not before two seconds. The reserve leaves the endpoint time to
+// generate the first event.
 constexpr int abandonment_factor = 4;
 constexpr milliseconds min_abandonment_time{2000};
 constexpr milliseconds first_token_reserve{250};
+constexpr milliseconds min_stream_silence_limit{5000};
 constexpr milliseconds min_retry_delay{300};
 constexpr std::uint64_t retry_spread_ms = 700;
 // The retry delay is at most a third of the time that the caller has left.
@@ -31,9 +32,18 @@
         static_cast<long long>(static_cast<double>(time.count()) * max_wait_share));
     if (matched_route.kind != route_kind::streaming)
         return share;
-    const milliseconds abandonment_time =
-        std::max(min_abandonment_time, matched_route.target_latency * abandonment_factor);
-    return std::min(share, abandonment_time - first_token_reserve);
+    return std::min(share, abandonment_time(matched_route) - first_token_reserve);
+}
+
+milliseconds abandonment_time(const route& matched_route)
+{
+    return std::max(min_abandonment_time,
+                    matched_route.target_latency * abandonment_factor);
+}
+
+milliseconds max_stream_silence(const route& matched_route)
+{
+    return std::max(min_stream_silence_limit, abandonment_time(matched_route));
 }
 
 milliseconds retry_delay(milliseconds time_left, std::uint64_t request_hash)
--- a/policy/fleet/wait_limits.hpp
+++ b/policy/fleet/wait_limits.hpp
@@ -13,6 +13,14 @@
 // the response is unlikely to arrive within `caller_time`, for which the caller waits.
 milliseconds max_wait_time(const route& matched_route, milliseconds caller_time);
 
+// Returns the time without new bytes after which the callers of the route abandon a
+// stream.
+milliseconds abandonment_time(const route& matched_route);
+
+// Returns the time without new bytes after which a stream of the route ends that can't go
+// on elsewhere. Its caller has abandoned it before.
+milliseconds max_stream_silence(const route& matched_route);
+
 // Returns the Retry-After time for a refused caller, which would have waited for
 // `time_left` more. It is short, because the requested adapter or endpoint is likely to
 // be available soon. It varies with `request_hash`, a hash of the request, so that
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -25,9 +25,6 @@
 
 // An attempt fails if no byte of it could be sent within this time.
 constexpr milliseconds connect_timeout{250};
-// A stream that can't be resumed any more ends after this time without new bytes. Callers
-// give up earlier.
-constexpr milliseconds max_stream_silence{5000};
 
 // Forwards requests from callers to endpoints (request_flow_admission.cpp,
 // request_flow.cpp) and the responses back (request_flow_responses.cpp,
@@ -177,6 +174,10 @@
     // True if the route, the attempts so far and the deadline allow a retry of a request
     // that may have run.
     bool may_retry(const http_exchange& exchange) const;
+    // True if the request may be retried, and another endpoint or a peer can take it now
+    // or once its adapter is loaded. An attempt that is only silent isn't given up
+    // otherwise.
+    bool can_go_elsewhere(http_exchange& exchange);
     // Looks for another endpoint after an attempt that failed or was refused.
     void wait_for_endpoint(http_exchange& exchange);
     // Ends a request that certainly didn't run. The error response tells the caller when
--- a/servers/gateway/request_flow_relay.cpp
+++ b/servers/gateway/request_flow_relay.cpp
@@ -93,9 +93,9 @@
 {
     std::vector<exchange_id> silent;
     if (is_cut_off_confirmed(context_.links, context_.loop.now()))
-        for (const auto& [id, exchange] : exchanges_)
+        for (auto& [id, exchange] : exchanges_)
             if (exchange.upstream.value != 0 && !exchange.is_relayed &&
-                may_retry(exchange) &&
+                can_go_elsewhere(exchange) &&
                 std::max(exchange.last_chunk_at, exchange.sent_at) <
                     *context_.links.cut_off_since)
                 silent.push_back(exchange.id);
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -34,6 +34,8 @@
 // A request that may be retried is sent to another endpoint if the response to its first
 // attempt hasn't begun after this multiple of its target latency.
 constexpr int response_start_factor = 4;
+// While no other endpoint can take such a request, one is looked for at this interval.
+constexpr milliseconds start_check_interval{200};
 
 bool is_success(int status)
 {
@@ -54,6 +56,28 @@
            context_.loop.now() < exchange.deadline;
 }
 
+bool request_flow::can_go_elsewhere(http_exchange& exchange)
+{
+    const instant now = context_.loop.now();
+    if (!may_retry(exchange) ||
+        exchange.possible_runs + 1 >= exchange.matched_route->max_attempts ||
+        guard_.request_suspect_status(exchange) == suspect_status::blocked)
+        return false;
+    if (is_cut_off(context_.links))
+        return !exchange.is_from_peer &&
+               choose_relay(context_.fleet, request_hash(exchange),
+                            exchange.failed_relays, now);
+    retry_window attempts = attempts_[exchange.service];
+    if (!take_retry(attempts, context_.settings.retry_budget,
+                    live_member_count(context_.fleet), now))
+        return false;
+    const dispatch_query query = dispatch_query_for(exchange);
+    exchange.excluded_endpoints.insert(exchange.endpoint);
+    const dispatch_decision other = choose_endpoint(context_.fleet, query, now);
+    return other.endpoint || other.needs_permit ||
+           (other.needs_load && choose_engine_for_load(context_.fleet, query, now));
+}
+
 void request_flow::check_response_started(exchange_id id)
 {
     http_exchange& exchange = exchanges_.at(id.value);
@@ -71,7 +95,7 @@
     // A stream that is being resumed has no other attempt left that could be waited for.
     const bool is_resumed = exchange.phase == exchange_phase::responding;
     const milliseconds start_limit =
-        is_resumed ? max_stream_silence
+        is_resumed ? max_stream_silence(*exchange.matched_route)
                    : exchange.matched_route->target_latency * response_start_factor;
     const auto age = context_.loop.now() - exchange.sent_at;
     if (age < start_limit)
@@ -83,13 +107,17 @@
     if (is_resumed)
         return on_attempt_failed(exchange, "the stream went silent", true);
     const bool is_first_attempt = exchange.possible_runs == 0 && exchange.sends == 1;
-    if (is_first_attempt &&
-        exchange.possible_runs + 1 < exchange.matched_route->max_attempts &&
-        may_retry(exchange))
+    if (!is_first_attempt || exchange.matched_route->max_attempts == 1 ||
+        !may_retry(exchange))
+        return;
+    if (!can_go_elsewhere(exchange))
     {
-        pool_.remove_endpoint(exchange.endpoint);
-        on_attempt_failed(exchange, "no answer began in time", true);
+        exchange.timer = context_.loop.schedule_after(start_check_interval, [this, id]
+                                                      { check_response_started(id); });
+        return;
     }
+    pool_.remove_endpoint(exchange.endpoint);
+    on_attempt_failed(exchange, "no answer began in time", true);
 }
 
 void request_flow::on_upstream_ended(exchange_id id, stream_end end)
--- a/servers/gateway/request_flow_streams.cpp
+++ b/servers/gateway/request_flow_streams.cpp
@@ -1,6 +1,7 @@
 #include "servers/gateway/request_flow.hpp"
 
 #include "policy/fleet/event_stream.hpp"
+#include "policy/fleet/wait_limits.hpp"
 
 #include <algorithm>
 
@@ -168,11 +169,9 @@
         exchange.last_chunk_at = context_.loop.now();
     const auto silence = context_.loop.now() - exchange.last_chunk_at;
     // A peer that relays the stream resumes it.
-    const bool can_resume =
-        !exchange.is_relayed && may_retry(exchange) &&
-        exchange.possible_runs + 1 < exchange.matched_route->max_attempts;
-    const milliseconds limit = can_resume ? stream_stall_timeout : max_stream_silence;
-    if (silence < limit)
+    const bool is_moved = silence >= stream_stall_timeout && !exchange.is_relayed &&
+                          can_go_elsewhere(exchange);
+    if (!is_moved && silence < max_stream_silence(*exchange.matched_route))
         return schedule_stall_check(exchange);
     pool_.remove_endpoint(exchange.endpoint);
     on_attempt_failed(exchange, "the stream went silent", true);
--- a/tests/contract/silent_engine_test.cpp
+++ b/tests/contract/silent_engine_test.cpp
@@ -79,6 +79,28 @@
     BOOST_TEST(test.second.requests.empty());
 }
 
+// Guards against a stream that is cut off because of a pause of its engine, although no
+// other engine can go on with it.
+BOOST_AUTO_TEST_CASE(a_stream_is_not_cut_off_because_its_only_engine_pauses)
+{
+    silent_fixture test;
+    test.add_endpoint("i-1", "assistant", test.first);
+    test.answer_in_two_parts(test.first, stream_head + chunk(event_a),
+                             callers_gap - milliseconds(100),
+                             chunk(event_b) + last_chunk);
+    BOOST_TEST(is_whole_stream(test.send_request("/again/1")));
+}
+
+// Guards against a request that is failed because its only endpoint hasn't begun its
+// answer yet.
+BOOST_AUTO_TEST_CASE(a_request_is_not_failed_because_its_only_endpoint_pauses)
+{
+    silent_fixture test;
+    test.add_endpoint("i-1", "plain", test.first);
+    test.answer_in_two_parts(test.first, "", pause_of_a_sound_engine, ok_response);
+    BOOST_TEST(test.send_request("/look/1").starts_with("HTTP/1.1 200"));
+}
+
 // Guards against a stream that its caller gives up because its engine is silent for good
 // and another one goes on with it too late.
 BOOST_AUTO_TEST_CASE(a_silent_stream_is_resumed_before_its_caller_gives_up)
--- a/tests/policy/fleet_dispatch_test.cpp
+++ b/tests/policy/fleet_dispatch_test.cpp
@@ -396,6 +396,20 @@
     BOOST_TEST(max_wait_time(stream, milliseconds(15000)).count() < 2000);
 }
 
+// Guards against a silent stream that is ended while its caller still waits for it.
+BOOST_AUTO_TEST_CASE(a_silent_stream_is_not_ended_before_its_caller_abandons_it)
+{
+    route stream;
+    stream.kind = route_kind::streaming;
+    for (const milliseconds target :
+         {milliseconds(100), milliseconds(600), milliseconds(1500), milliseconds(4000)})
+    {
+        stream.target_latency = target;
+        const milliseconds gap = std::max(milliseconds(2000), 4 * target);
+        BOOST_TEST(max_stream_silence(stream).count() >= gap.count());
+    }
+}
+
 BOOST_AUTO_TEST_CASE(retry_delays_of_refused_callers_are_spread)
 {
     std::set<long long> times;
