Don't take the only version that a daemon knows for the only one there is

The list was older than the stream. A version that had left counted as never there, too.

Now all members must show it. Heartbeats state the versions of the services with resumable streams that a daemon has known for 60 s. A stream without record or answer goes on at the base version only if this daemon knows no other one and each member with a lease says the same in a heartbeat that arrives later than 0.5 s after the search began, so that it was sent after the stream's beginning (messages that waited for a daemon to go on don't count). Silent members, and those of an earlier release, count only if the store was silent to them, from which engines are learned of; half of the members must be heard. Else the search waits up to its 1.5 s and refuses with stream_version_unknown. What engines use or callers name wasn't enough: callers name no time, and loads at unknown endpoints don't show versions. A limit on the age of the list was ruled out: an engine may join, begin a stream and be lost within any such age.

Heartbeats of the release before are read, and its decoder ignores the new field (checked by the wire format; daemons of two releases weren't run side by side).

--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -16,6 +16,9 @@
 namespace pollenhaven
 {
 
+// The software versions of the endpoints, by service.
+using service_versions = std::map<service_id, std::set<software_version>>;
+
 // The state of a member, a daemon of the fleet, as far as this daemon knows it.
 struct member_view
 {
@@ -41,6 +44,9 @@
     milliseconds store_silence{0};
     // The era of the store that the member has seen, as of its last heartbeat.
     store_era era;
+    // The versions that the member has known within the lifetime of a stream, as of its
+    // last heartbeat; none if it runs an earlier release, which doesn't state them.
+    std::optional<service_versions> software_versions;
     // Endpoints at which this daemon knows a load of the member.
     std::set<endpoint_id> loaded_endpoints;
 };
@@ -171,6 +177,9 @@
     std::map<daemon_id, member_view> members;
     std::map<adapter_id, known_version> versions;
     std::map<service_id, base_version> base_versions;
+    // When this daemon last knew an endpoint of a version, as of the last
+    // record_known_versions().
+    std::map<service_id, std::map<software_version, instant>> known_versions;
     // The latest era that the store has stated to this daemon; 0 if it states none.
     store_era era;
     // What this daemon and its peers have learned about the weight store.
--- a/policy/fleet/stream_origin.cpp
+++ b/policy/fleet/stream_origin.cpp
@@ -12,6 +12,9 @@
 constexpr milliseconds base_version_delay{5000};
 // A store that hasn't responded for this long may not take a record in time.
 constexpr milliseconds max_silence_for_records{1000};
+// A heartbeat that arrives after this time was sent after a search began, also if it
+// waited for a slow link or for this process to go on.
+constexpr milliseconds max_message_age{500};
 // Records use the store's writes up to one in this many.
 constexpr int write_share_divisor = 2;
 constexpr int milliseconds_per_second = 1000;
@@ -43,6 +46,42 @@
     return found == fleet.base_versions.end() ? nullptr : &found->second;
 }
 
+// Returns true if this daemon has known another version within the lifetime of a stream.
+bool knows_other_version(const fleet_view& fleet, const service_id& service,
+                         const software_version& version, instant now)
+{
+    const auto known = fleet.known_versions.find(service);
+    return known != fleet.known_versions.end() &&
+           std::any_of(known->second.begin(), known->second.end(),
+                       [&](const auto& entry) {
+                           return entry.first != version &&
+                                  now - entry.second <= stream_lifetime;
+                       });
+}
+
+// Returns true if the member has stated that it knows another version.
+bool states_other_version(const member_view& member, const service_id& service,
+                          const software_version& version, instant now)
+{
+    if (!member.software_versions || now - member.last_message_at > stream_lifetime)
+        return false;
+    const auto known = member.software_versions->find(service);
+    return known != member.software_versions->end() &&
+           known->second != std::set<software_version>{version};
+}
+
+// Returns true if a message of the member was sent after the search began.
+bool is_heard_since(const member_view& member, instant search_began)
+{
+    return member.last_message_at >= search_began + max_message_age;
+}
+
+// Returns true if the store was silent to the member, from which it learns of engines.
+bool learns_nothing(const member_view& member)
+{
+    return member.store_silence >= max_silence_for_records;
+}
+
 } // namespace
 
 std::set<software_version> registered_versions(const fleet_view& fleet,
@@ -110,19 +149,81 @@
     return std::nullopt;
 }
 
+void record_known_versions(fleet_view& fleet, instant now)
+{
+    for (const auto& [id, endpoint] : fleet.endpoints)
+        if (is_registered(endpoint, endpoint.record.service, now))
+            fleet.known_versions[endpoint.record.service][endpoint.record.software] = now;
+    for (auto& [service, versions] : fleet.known_versions)
+        std::erase_if(versions, [now](const auto& entry)
+                      { return now - entry.second > stream_lifetime; });
+}
+
+std::set<service_id> services_with_resumable_streams(const routing_table& table)
+{
+    std::set<service_id> services;
+    for (const route& candidate : table.routes)
+        if (candidate.resumable)
+            for (const weighted_service& share : candidate.services)
+                services.insert(share.service);
+    return services;
+}
+
+service_versions versions_to_report(const fleet_view& fleet,
+                                    const std::set<service_id>& services)
+{
+    service_versions versions;
+    for (const service_id& service : services)
+    {
+        const auto found = fleet.known_versions.find(service);
+        if (found == fleet.known_versions.end())
+            continue;
+        for (const auto& [version, known_at] : found->second)
+            versions[service].insert(version);
+    }
+    return versions;
+}
+
+bool is_only_version(const fleet_view& fleet, const service_id& service,
+                     const software_version& version, instant search_began, instant now)
+{
+    if (knows_other_version(fleet, service, version, now))
+        return false;
+    int members = 1;
+    int heard = 1;
+    for (const auto& [id, member] : fleet.members)
+    {
+        if (id == fleet.self)
+            continue;
+        if (states_other_version(member, service, version, now))
+            return false;
+        if (!member.leased)
+            continue;
+        const bool is_heard = is_heard_since(member, search_began);
+        ++members;
+        heard += is_heard ? 1 : 0;
+        if (!(is_heard && member.software_versions) && !learns_nothing(member))
+            return false;
+    }
+    return 2 * heard >= members;
+}
+
 stream_origin locate_stream(const fleet_view& fleet, const service_id& service,
-                            record_lookup lookup, const software_version& recorded,
-                            bool is_conclusive, instant now)
+                            const stream_search& search, instant now)
 {
-    if (lookup == record_lookup::found)
-        return {origin_source::record, recorded};
+    if (search.lookup == record_lookup::found)
+        return {origin_source::record, search.recorded};
     const base_version* const base = find_base(fleet, service);
-    const std::set<software_version> versions = registered_versions(fleet, service, now);
-    if (versions.size() == 1 &&
-        (base == nullptr ? is_conclusive : *versions.begin() == base->version))
-        return {origin_source::only_version, *versions.begin()};
-    if (lookup == record_lookup::absent && is_conclusive && base != nullptr)
+    if (search.lookup == record_lookup::absent && search.is_conclusive && base != nullptr)
         return {origin_source::base_version, base->version};
+    const std::set<software_version> versions = registered_versions(fleet, service, now);
+    if (versions.size() != 1)
+        return {};
+    const software_version& version = *versions.begin();
+    const bool is_base =
+        base == nullptr ? search.is_conclusive : version == base->version;
+    if (is_base && is_only_version(fleet, service, version, search.began, now))
+        return {origin_source::only_version, version};
     return {};
 }
 
--- a/policy/fleet/stream_origin.hpp
+++ b/policy/fleet/stream_origin.hpp
@@ -1,6 +1,7 @@
 #ifndef POLLENHAVEN_POLICY_FLEET_STREAM_ORIGIN_HPP
 #define POLLENHAVEN_POLICY_FLEET_STREAM_ORIGIN_HPP
 
+#include "core/records/routing.hpp"
 #include "policy/fleet/fleet_view.hpp"
 
 #include <optional>
@@ -42,6 +43,19 @@
     only_version
 };
 
+// What is known about a stream that a caller resumes, apart from the fleet.
+struct stream_search
+{
+    // When the caller's request arrived. The stream had begun before.
+    instant began{};
+    record_lookup lookup = record_lookup::unanswered;
+    // The version in the record; undefined unless it was found.
+    software_version recorded;
+    // False if the store may have lost records, or this daemon doesn't know its base
+    // versions yet.
+    bool is_conclusive = false;
+};
+
 struct stream_origin
 {
     origin_source source = origin_source::unknown;
@@ -78,12 +92,30 @@
                                                   std::optional<instant> absent_since,
                                                   instant now);
 
+// Notes the versions of the endpoints that this daemon knows now, and forgets those that
+// it hasn't known for the lifetime of a stream. Must be called periodically.
+void record_known_versions(fleet_view& fleet, instant now);
+
+// Returns the services to which routes with resumable streams lead.
+std::set<service_id> services_with_resumable_streams(const routing_table& table);
+
+// Returns the versions of these services that this daemon has known within the lifetime
+// of a stream, to be told to its peers.
+service_versions versions_to_report(const fleet_view& fleet,
+                                    const std::set<service_id>& services);
+
+// Returns true if no stream of the service can have begun at another version before the
+// search for it began. The own view alone doesn't show that: while this daemon stood
+// still or was cut off, engines of another version may have joined. Each member with a
+// lease must have stated the versions that it knows since the search began. A member that
+// doesn't, because it was killed or runs an earlier release, counts as well if the store
+// was silent to it too; at least half of the members must be heard from.
+bool is_only_version(const fleet_view& fleet, const service_id& service,
+                     const software_version& version, instant search_began, instant now);
+
 // Returns the version that began a stream which this daemon doesn't know itself.
-// `recorded` is the version in the record, if it was found. `is_conclusive` is false if
-// the store may have lost records, or this daemon doesn't know its base versions yet.
 stream_origin locate_stream(const fleet_view& fleet, const service_id& service,
-                            record_lookup lookup, const software_version& recorded,
-                            bool is_conclusive, instant now);
+                            const stream_search& search, instant now);
 
 // Returns how long a daemon waits between two writes of records, so that all daemons
 // together use at most half of the writes that the store takes.
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -73,6 +73,24 @@
     return observations;
 }
 
+json encode_service_versions(const service_versions& versions)
+{
+    json object = json::object();
+    for (const auto& [service, software] : versions)
+        for (const software_version& version : software)
+            object[service.value].push_back(version.value);
+    return object;
+}
+
+service_versions decode_service_versions(const json& object)
+{
+    service_versions versions;
+    for (const auto& [service, software] : object.items())
+        for (const json& version : software)
+            versions[{service}].insert({version.get<std::string>()});
+    return versions;
+}
+
 json encode_body(const endpoint_load_message& message)
 {
     json counts = json::object();
@@ -111,6 +129,8 @@
     }
     for (const auto& [endpoint, limit] : message.request_limits)
         body["limits"][endpoint.value] = limit.per_second;
+    if (message.software_versions)
+        body["software"] = encode_service_versions(*message.software_versions);
     return body;
 }
 
@@ -299,6 +319,8 @@
     if (body.contains("limits"))
         for (const auto& [endpoint, limit] : body.at("limits").items())
             message.request_limits[{endpoint}] = decode_rate(limit);
+    if (body.contains("software"))
+        message.software_versions = decode_service_versions(body.at("software"));
     return message;
 }
 
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -3,6 +3,7 @@
 
 #include "core/ids.hpp"
 #include "core/records/endpoint_record.hpp"
+#include "policy/fleet/fleet_view.hpp"
 #include "policy/fleet/load_time_model.hpp"
 #include "policy/fleet/prompt_part_crashes.hpp"
 #include "policy/fleet/request_limit.hpp"
@@ -58,6 +59,9 @@
     load_time_model load_times;
     // The request limits of the endpoints for which the sender gives permits.
     std::map<endpoint_id, request_rate> request_limits;
+    // The versions of services with resumable streams that the sender has known within
+    // the lifetime of a stream; none if the sender can't state them.
+    std::optional<service_versions> software_versions;
 };
 
 // The load of one daemon at one endpoint, without the counts by adapter.
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -298,6 +298,7 @@
     member.cut_off = message.cut_off;
     member.store_silence = message.store_silence;
     member.era = message.era;
+    member.software_versions = message.software_versions;
     adopt_load_times(fleet.load_times, message.load_times);
     for (const load_observation& observed : message.load_observations)
         observe_load(fleet.load_times, observed);
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -428,6 +428,10 @@
     message.load_observations = take_load_observations(context_);
     message.load_times = context_.fleet.load_times;
     message.request_limits = permits_.limits_to_report();
+    record_known_versions(context_.fleet, context_.loop.now());
+    if (context_.routing != nullptr)
+        message.software_versions = versions_to_report(
+            context_.fleet, services_with_resumable_streams(*context_.routing));
     message.has_endpoint_loads =
         heartbeats_sent_++ %
             heartbeats_per_load_report(live_member_count(context_.fleet)) ==
--- a/servers/gateway/stream_searches.cpp
+++ b/servers/gateway/stream_searches.cpp
@@ -4,7 +4,6 @@
 #include "servers/gateway/base_versions.hpp"
 
 #include <utility>
-#include <vector>
 
 namespace pollenhaven
 {
@@ -58,9 +57,8 @@
 {
     const search_id id{++last_id_};
     searches_[id] = {stream, service, context_.loop.now(), std::move(done)};
-    if (stream.empty())
-        return finish(id, record_lookup::unanswered, {});
-    unread_.push_back(id);
+    if (!stream.empty())
+        unread_.push_back(id);
     read_next();
     if (!std::exchange(check_scheduled_, true))
         context_.loop.schedule_after(retry_interval, [this] { check_searches(); });
@@ -101,7 +99,7 @@
             const std::optional<software_version> version =
                 decode_software_version(item.value);
             if (item.key == stream_record_key(stream) && version)
-                return finish(id, record_lookup::found, *version);
+                return finish(id, locate(id, record_lookup::found, *version));
         }
     }
     catch (const dialect_error& error)
@@ -110,9 +108,10 @@
                            {{"request", stream.value}, {"reason", error.what()}});
         return read_again_later(id);
     }
-    if (!is_conclusive())
+    const stream_origin origin = locate(id, record_lookup::absent, {});
+    if (origin.source == origin_source::unknown)
         return read_again_later(id);
-    finish(id, record_lookup::absent, {});
+    finish(id, origin);
 }
 
 void stream_searches::read_again_later(search_id id)
@@ -129,12 +128,16 @@
 {
     check_scheduled_ = false;
     const instant now = context_.loop.now();
-    std::vector<search_id> ended;
+    std::map<search_id, stream_origin> ended;
     for (const auto& [id, search] : searches_)
-        if (now - search.began >= max_search_time)
-            ended.push_back(id);
-    for (const search_id id : ended)
-        finish(id, record_lookup::unanswered, {});
+    {
+        const stream_origin origin = locate(id, record_lookup::unanswered, {});
+        if (origin.source != origin_source::unknown ||
+            now - search.began >= max_search_time)
+            ended[id] = origin;
+    }
+    for (const auto& [id, origin] : ended)
+        finish(id, origin);
     if (!searches_.empty() && !std::exchange(check_scheduled_, true))
         context_.loop.schedule_after(retry_interval, [this] { check_searches(); });
 }
@@ -145,15 +148,20 @@
                             context_.loop.now() - *context_.era_seen_at > rewrite_time);
 }
 
-void stream_searches::finish(search_id id, record_lookup lookup,
-                             const software_version& recorded)
+stream_origin stream_searches::locate(search_id id, record_lookup lookup,
+                                      const software_version& recorded) const
+{
+    const pending_search& search = searches_.at(id);
+    return locate_stream(context_.fleet, search.service,
+                         {search.began, lookup, recorded, is_conclusive()},
+                         context_.loop.now());
+}
+
+void stream_searches::finish(search_id id, const stream_origin& origin)
 {
     const auto found = searches_.find(id);
-    const search ended = std::move(found->second);
+    const pending_search ended = std::move(found->second);
     searches_.erase(found);
-    const stream_origin origin =
-        locate_stream(context_.fleet, ended.service, lookup, recorded, is_conclusive(),
-                      context_.loop.now());
     context_.log.write("stream located", {{"stream_begun_by", ended.stream.value},
                                           {"software", origin.version.value},
                                           {"source", to_text(origin.source)}});
--- a/servers/gateway/stream_searches.hpp
+++ b/servers/gateway/stream_searches.hpp
@@ -38,7 +38,7 @@
 private:
     using search_id = strong_number<struct search_id_tag>;
 
-    struct search
+    struct pending_search
     {
         request_id stream;
         service_id service;
@@ -51,15 +51,18 @@
     void read_next();
     void on_read(search_id id, const http_result& result);
     void read_again_later(search_id id);
-    // Ends the searches whose time is over.
+    // Ends the searches that no longer depend on the store's answer, and those whose time
+    // is over.
     void check_searches();
-    void finish(search_id id, record_lookup lookup, const software_version& recorded);
+    stream_origin locate(search_id id, record_lookup lookup,
+                         const software_version& recorded) const;
+    void finish(search_id id, const stream_origin& origin);
     bool is_conclusive() const;
 
     gateway_context& context_;
     loaded_check is_loaded_;
     store_client client_;
-    std::map<search_id, search> searches_;
+    std::map<search_id, pending_search> searches_;
     std::uint64_t last_id_ = 0;
     // The searches whose records are to be read next. Some may have ended.
     std::deque<search_id> unread_;
--- a/tests/contract/fleet_wire_test.cpp
+++ b/tests/contract/fleet_wire_test.cpp
@@ -4,6 +4,7 @@
 #include "tests/harness/process.hpp"
 
 #include <boost/test/unit_test.hpp>
+#include <nlohmann/json.hpp>
 #include <rapidcheck/boost_test.h>
 
 using namespace pollenhaven;
@@ -113,6 +114,32 @@
     BOOST_TEST((truncated_reader.finish() == read_state::malformed));
 }
 
+// Guards against daemons of two releases that don't read each other's heartbeats during
+// an upgrade: the earlier one doesn't state software versions and ignores fields that it
+// doesn't know.
+BOOST_AUTO_TEST_CASE(a_heartbeat_without_software_versions_is_that_of_an_earlier_release)
+{
+    heartbeat_message heartbeat;
+    heartbeat.sender = {"daemon-1"};
+    heartbeat.store_silence = milliseconds(1234);
+    heartbeat.software_versions = {{{"assistant"}, {{"v1"}}}};
+    nlohmann::json body = nlohmann::json::from_msgpack(encode(heartbeat));
+    const nlohmann::json added = body.at("software");
+    body.erase("software");
+    // The fields of the release before, all of which it needs.
+    for (const char* const field : {"format", "kind", "from", "start", "ready", "leaving",
+                                    "silence", "use", "loads", "store"})
+        BOOST_TEST(body.contains(field), field);
+    BOOST_TEST(body.size() == 10U);
+    std::string earlier;
+    nlohmann::json::to_msgpack(body, earlier);
+    const fleet_message decoded = decode(earlier);
+    BOOST_TEST(!std::get<heartbeat_message>(decoded).software_versions);
+    BOOST_TEST(std::get<heartbeat_message>(decoded).store_silence.count() == 1234);
+    const nlohmann::json expected{{"assistant", {"v1"}}};
+    BOOST_TEST((added == expected));
+}
+
 BOOST_AUTO_TEST_CASE(decoding_an_encoded_peer_message_restores_its_fields)
 {
     heartbeat_message heartbeat;
@@ -124,12 +151,14 @@
     heartbeat.endpoint_loads[{"i-1"}] = {3, 2400, {{{"base/a1"}, 2}}, {{{"base/a2"}, 5}}};
     heartbeat.load_observations = {{70, milliseconds(310), true}};
     heartbeat.operator_change = {{2}, {42}};
+    heartbeat.software_versions = {{{"assistant"}, {{"v1"}, {"v2"}}}};
     const fleet_message decoded = decode(encode(heartbeat));
     const auto& decoded_heartbeat = std::get<heartbeat_message>(decoded);
     BOOST_TEST(decoded_heartbeat.sender.value == "daemon-1");
     BOOST_TEST((decoded_heartbeat.operator_change == heartbeat.operator_change));
     BOOST_TEST(decoded_heartbeat.store_silence.count() == 1234);
     BOOST_TEST(decoded_heartbeat.cut_off);
+    BOOST_TEST((decoded_heartbeat.software_versions == heartbeat.software_versions));
     BOOST_TEST(decoded_heartbeat.endpoint_loads.at({"i-1"}).pending_prefill_tokens ==
                2400);
     BOOST_TEST(decoded_heartbeat.endpoint_loads.at({"i-1"}).started_by_adapter.at(
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -63,7 +63,7 @@
     store_address_ = start_standin({"--role=fleet-store", "--more-ports=" + store_ports});
     write_configuration(1);
     start_service_endpoints();
-    start_engines();
+    start_engines(0, options.engines - options.late_engines);
     for (int daemon = 0; daemon < options.daemons; ++daemon)
     {
         caller_addresses_.push_back("127.0.0.1:" + std::to_string(free_port()));
@@ -133,9 +133,14 @@
         control_standin(control, {{"mode", mode}});
 }
 
-void fleet::start_engines()
+void fleet::start_late_engines()
 {
-    for (int engine = 0; engine < options_.engines; ++engine)
+    start_engines(options_.engines - options_.late_engines, options_.engines);
+}
+
+void fleet::start_engines(int first, int end)
+{
+    for (int engine = first; engine < end; ++engine)
     {
         const std::string address = "127.0.0.1:" + std::to_string(free_port());
         engine_addresses_.push_back(address);
@@ -254,6 +259,14 @@
     put_store_item("servers/" + engine_id(engine), entry);
 }
 
+void fleet::cut_off_from_peers(int daemon) const
+{
+    put_store_item("pollenhaven/members/daemon-" + std::to_string(daemon),
+                   {{"callers", caller_address(daemon)},
+                    {"peers", "127.0.0.1:" + std::to_string(free_port())},
+                    {"zone", "zone"}});
+}
+
 void fleet::remove_engine(int engine) const
 {
     control_standin(store_address_, {{"remove", {"servers/" + engine_id(engine)}}});
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -21,6 +21,8 @@
 {
     int daemons = 3;
     int engines = 2;
+    // The last of the engines, this many, start only with start_late_engines().
+    int late_engines = 0;
     int adapter_slots_per_engine = 4;
     int events_per_stream = 5;
     int event_interval_ms = 10;
@@ -56,6 +58,9 @@
 
     // Starts a daemon. If it is still running, it is killed first.
     void start_daemon(int daemon);
+    // Starts the engines that fleet_options::late_engines left out. They join by
+    // registering themselves with the store.
+    void start_late_engines();
     // Kills all daemons at once.
     void kill_all_daemons();
     // Starts all daemons. Returns true if they are ready within ten seconds.
@@ -108,6 +113,9 @@
     void put_store_item(const std::string& key, const nlohmann::json& value) const;
     // Writes the engine's entry in the store with this state, "ready" or "draining".
     void set_engine_state(int engine, const std::string& state) const;
+    // Lets the other daemons send nothing to this one any more, by naming an address in
+    // its entry at which nobody listens.
+    void cut_off_from_peers(int daemon) const;
     // Removes the engine's entry from the store. Its process keeps running.
     void remove_engine(int engine) const;
     // Sets the mode of the proxies between a daemon and all endpoints.
@@ -150,7 +158,8 @@
     // appends the address on which its faults are set to `control_addresses`.
     std::string start_tcp_proxy(const std::string& target,
                                 std::vector<std::string>& control_addresses);
-    void start_engines();
+    // Starts the engines whose numbers are at least `first` and below `end`.
+    void start_engines(int first, int end);
     // Starts the proxies between each daemon and all endpoints, and has the store name
     // them to this daemon.
     void start_link_proxies();
