Tell a caller that shut its sending side what became of its request

A caller that shuts its sending side after a whole request and reads on got the end of the connection: no answer and no refusal, so it couldn't tell whether its request had run. A response that was on its way to such a caller was cut off in the middle, too.

Cause: the event loop took the end of a stream's input for the end of the stream, and dropped its output. A caller that gave up because its request wasn't read sends the request and the end together as well.

So the end of the input still ends the request, and releases its endpoint in the same turn. New is that the stream stays open for output: the caller gets 503 (not run) or 502 (may have run) with the code caller_left, a stream that had begun breaks off, and a response that is being sent is sent to its end. A caller that has left resets these bytes.

--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -180,8 +180,9 @@
     const stream& target = streams_.at(id.value);
     const std::uint32_t while_paused =
         target.ends_while_paused ? std::uint32_t{EPOLLRDHUP} : std::uint32_t{0};
+    const std::uint32_t reading = target.reading_paused ? while_paused : reading_events;
     const std::uint32_t events =
-        (target.reading_paused ? while_paused : reading_events) |
+        (target.input_ended ? std::uint32_t{0} : reading) |
         (target.waiting_for_writable ? std::uint32_t{EPOLLOUT} : std::uint32_t{0});
     set_poll_events(target.socket.number(), id.value, events, EPOLL_CTL_MOD);
 }
@@ -255,7 +256,14 @@
         return;
     found->second.closes_after_output = true;
     found->second.discards_input = true;
-    resume_reading(id);
+    if (found->second.reading_paused)
+    {
+        // Unread input would turn the close into a reset.
+        found->second.input_ended = false;
+        found->second.reading_paused = false;
+        found->second.ends_while_paused = false;
+        update_poll_events(id);
+    }
     if (!found->second.flush_scheduled)
         flush_queue_.push_back(id);
     found->second.flush_scheduled = true;
@@ -273,6 +281,20 @@
     schedule_after(linger_time, [this, id] { close(id); });
 }
 
+void event_loop::end_input(stream_id id)
+{
+    stream& source = streams_.at(id.value);
+    if (!source.closes_after_output && !source.handlers.input_ended)
+        return end_stream(id, stream_end::finished);
+    source.input_ended = true;
+    update_poll_events(id);
+    if (source.closes_after_output)
+        return;
+    // The handler is copied, because the call may close the stream and destroy it.
+    const std::function<void(stream_id)> input_ended = source.handlers.input_ended;
+    input_ended(id);
+}
+
 void event_loop::end_stream(stream_id id, stream_end end)
 {
     const auto found = streams_.find(id.value);
@@ -303,7 +325,7 @@
         return;
     }
     if (count == 0)
-        return end_stream(id, stream_end::finished);
+        return end_input(id);
     if (count < 0)
     {
         if (!would_block())
@@ -462,13 +484,15 @@
     if ((events & EPOLLOUT) != 0)
         write_stream(id);
     const auto found = streams_.find(tag);
-    if (found != streams_.end() && (events & EPOLLRDHUP) != 0)
-        found->second.peer_closed = true;
-    if (found != streams_.end() && found->second.ends_while_paused &&
-        (events & (EPOLLRDHUP | EPOLLHUP | EPOLLERR)) != 0)
-        return end_stream(id, (events & (EPOLLHUP | EPOLLERR)) != 0
-                                  ? stream_end::failed
-                                  : stream_end::finished);
+    if (found == streams_.end())
+        return;
+    stream& source = found->second;
+    source.peer_closed = source.peer_closed || (events & EPOLLRDHUP) != 0;
+    const bool reads_no_more = source.ends_while_paused || source.input_ended;
+    if (reads_no_more && (events & (EPOLLHUP | EPOLLERR)) != 0)
+        return end_stream(id, stream_end::failed);
+    if (source.ends_while_paused && !source.input_ended && (events & EPOLLRDHUP) != 0)
+        return end_input(id);
     if ((events & (EPOLLIN | EPOLLHUP | EPOLLERR)) != 0)
         read_stream(id);
 }
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -35,6 +35,10 @@
 {
     // Called after new bytes were appended to the stream's input.
     std::function<void(stream_id)> readable;
+    // Called when the peer has closed its sending side and everything that it sent has
+    // been read, or isn't read any more because of pause_reading_while_open(). The stream
+    // can still be written. If the handler isn't set, the stream ends then.
+    std::function<void(stream_id)> input_ended;
     // Called when the stream has ended. Its input can still be read during the call and
     // is freed after it.
     std::function<void(stream_id, stream_end)> ended;
@@ -74,8 +78,9 @@
     // Stops reading from the stream until resume_reading() is called, so that the peer's
     // bytes stay in the kernel and the peer has to wait.
     void pause_reading(stream_id id);
-    // As pause_reading(), but the stream ends as soon as its peer has closed its side or
-    // reset the connection, although bytes that the peer sent before are unread.
+    // As pause_reading(), but the input ends as soon as the peer has closed its sending
+    // side, and the stream as soon as the peer has reset the connection, although bytes
+    // that the peer sent before are unread.
     void pause_reading_while_open(stream_id id);
     void resume_reading(stream_id id);
     // Returns the number of bytes that were not passed to the kernel yet; 0 if the stream
@@ -134,9 +139,11 @@
         std::size_t written = 0;
         bool waiting_for_writable = false;
         bool reading_paused = false;
-        // While reading is paused, the stream ends once the peer has closed its side.
+        // While reading is paused, the input ends once the peer has closed its side.
         bool ends_while_paused = false;
         bool peer_closed = false;
+        // The end of the input was reported; only output is left.
+        bool input_ended = false;
         bool closes_after_output = false;
         bool discards_input = false;
         bool resets_on_close = false;
@@ -154,6 +161,7 @@
     void read_stream(stream_id id);
     void write_stream(stream_id id);
     void drain_and_close(stream_id id);
+    void end_input(stream_id id);
     void end_stream(stream_id id, stream_end end);
     void flush();
     void read_datagrams();
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -34,8 +34,6 @@
 // out.
 constexpr std::size_t max_small_request_bytes = 65536;
 constexpr std::size_t reserved_for_small_requests = 8UL << 20U;
-// For a caller that reads on, contrary to what its close says.
-constexpr milliseconds departed_retry_delay{1000};
 // Most requests that hold the memory have ended after this time.
 constexpr milliseconds memory_retry_delay{1000};
 
@@ -101,6 +99,7 @@
                           context_.loop.now(), false});
     stream_handlers handlers;
     handlers.readable = [this](stream_id readable) { on_readable(readable); };
+    handlers.input_ended = [this](stream_id ended) { on_input_ended(ended); };
     handlers.ended = [this](stream_id ended, stream_end) { on_ended(ended); };
     context_.loop.set_handlers(id, std::move(handlers));
 }
@@ -244,6 +243,24 @@
                                    "the bytes are not an HTTP/1.1 request"));
 }
 
+void http_server::on_input_ended(stream_id id)
+{
+    const auto found = connections_.find(id.value);
+    if (found == connections_.end())
+        return;
+    if (!found->second.request_in_progress)
+    {
+        connections_.erase(found);
+        if (context_.loop.pending_output(id) > 0)
+            return context_.loop.close_after_output(id);
+        return context_.loop.close(id);
+    }
+    found->second.keep_alive = false;
+    on_disconnect_(id);
+    if (connections_.erase(id.value) > 0)
+        context_.loop.close(id);
+}
+
 void http_server::on_ended(stream_id id)
 {
     const auto found = connections_.find(id.value);
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -28,6 +28,10 @@
 // The field of an error response of a daemon that says whether the request may have run.
 inline constexpr const char* verdict_field = "X-Verdict";
 
+// The Retry-After of a response to a caller that has closed its sending side, and may
+// still read.
+constexpr milliseconds departed_retry_delay{1000};
+
 // An HTTP/1.1 server on the event loop, for callers and for operators. Reads complete
 // requests, one at a time on each connection, and writes their responses. The functions
 // that write a response do nothing if the caller has disconnected.
@@ -37,7 +41,8 @@
     // Called with each complete request; the response is sent on the same stream.
     using request_handler =
         std::function<void(stream_id, const http_head&, std::string body)>;
-    // Called when a caller closes its connection before its response is complete.
+    // Called when a caller closes its connection, or its sending side only, before its
+    // response is complete. A response to the latter still reaches the caller.
     using disconnect_handler = std::function<void(stream_id)>;
 
     http_server(gateway_context& context, request_handler on_request,
@@ -99,6 +104,7 @@
 
     void on_accepted(stream_id id, bool is_from_peer);
     void on_readable(stream_id id);
+    void on_input_ended(stream_id id);
     void on_ended(stream_id id);
     void read_next(stream_id id);
     // Reads the next request from the input after the delay.
--- a/servers/gateway/request_flow_completion.cpp
+++ b/servers/gateway/request_flow_completion.cpp
@@ -108,9 +108,16 @@
     http_exchange& exchange = exchanges_.at(found->second.value);
     log_event(exchange, "caller gone", "");
     count_outcome(exchange, "caller_gone", "");
-    release_unused_claim(exchange, verdict_for(exchange));
-    drop_upstream(exchange);
-    remove_exchange(exchange);
+    failure reason{verdict_for(exchange), status_bad_gateway, "caller_left",
+                   "the caller closed its sending side before the response",
+                   std::nullopt};
+    if (reason.execution == verdict::not_run)
+    {
+        reason.http_status = status_unavailable;
+        reason.retry_after = departed_retry_delay;
+    }
+    // Reaches only a caller that reads on.
+    end_with_error_response(exchange, reason);
 }
 
 } // namespace pollenhaven
--- a/tests/contract/caller_limits_test.cpp
+++ b/tests/contract/caller_limits_test.cpp
@@ -199,4 +199,82 @@
     BOOST_TEST(test.flow.requests_in_flight() == 0U);
 }
 
+// Guards against a caller that shuts its sending side after its request and then gets no
+// response at all, although it reads on. Each row has what the daemon has done by then.
+// The request ends in any case, since nothing tells such a caller from one that has left.
+BOOST_AUTO_TEST_CASE(
+    a_caller_that_shuts_its_sending_side_learns_what_became_of_its_request)
+{
+    struct shut_case
+    {
+        const char* case_name;
+        bool has_endpoint;
+        std::size_t pipelined_bytes;
+        const char* status;
+        const char* verdict_line;
+    };
+    for (const shut_case& row :
+         {shut_case{"sent", true, 0, "HTTP/1.1 502", "X-Verdict: may_have_run\r\n"},
+          shut_case{"sent, unread bytes", true, 96 * kilobyte, "HTTP/1.1 502",
+                    "X-Verdict: may_have_run\r\n"},
+          shut_case{"waits", false, 0, "HTTP/1.1 503", "X-Verdict: not_run\r\n"}})
+    {
+        BOOST_TEST_CONTEXT(row.case_name)
+        {
+            flow_fixture test;
+            if (row.has_endpoint)
+                test.add_endpoint("i-1", "plain", test.first);
+            test.first.scripts = {{""}};
+            harness::raw_connection caller(test.address.value);
+            caller.send(post_request("/once/1"), seconds(1));
+            test.run_until(
+                [&]
+                {
+                    return test.first.requests.size() == 1 ||
+                           (!row.has_endpoint && test.flow.requests_in_flight() == 1);
+                },
+                seconds(1));
+            caller.send(std::string(row.pipelined_bytes, 'x'), seconds(1));
+            caller.shut_sending_side();
+            test.run_until([&] { return test.flow.requests_in_flight() == 0; },
+                           release_time);
+            BOOST_TEST(test.flow.requests_in_flight() == 0U);
+            test.run_until([] { return false; }, milliseconds(50));
+            BOOST_TEST(test.first.closed_by_daemon == (row.has_endpoint ? 1 : 0));
+            const std::string response = caller.read_until("}}", seconds(1));
+            BOOST_TEST(response.starts_with(row.status), response);
+            BOOST_TEST(contains(response, row.verdict_line));
+            BOOST_TEST(contains(response, "caller_left"));
+        }
+    }
+}
+
+// Guards against a response that is cut off because its caller shut its sending side
+// while the rest of it was on the way.
+BOOST_AUTO_TEST_CASE(a_response_that_is_being_sent_survives_the_end_of_the_input)
+{
+    constexpr std::size_t response_bytes = 20 * megabyte;
+    flow_fixture test;
+    std::optional<http_server> server;
+    server.emplace(
+        test.context,
+        [&](stream_id caller, const http_head&, const std::string&)
+        { server->send_response(caller, 200, "", std::string(response_bytes, 'x')); },
+        [](stream_id) {});
+    test.address = free_address();
+    server->listen(test.address);
+    harness::raw_connection caller(test.address.value);
+    caller.send(post_request("/"), seconds(1));
+    test.run_until([] { return false; }, milliseconds(100));
+    caller.shut_sending_side();
+    const instant limit = boot_clock::now() + seconds(3);
+    std::size_t received = 0;
+    while (received < response_bytes && boot_clock::now() < limit)
+    {
+        test.run_until([] { return false; }, milliseconds(1));
+        received = caller.read_until("none", milliseconds(1)).size();
+    }
+    BOOST_TEST(received > response_bytes);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
