Keep running when a caller's names aren't UTF-8

Callers saw all daemons of a deployment end: one request with an adapter, a request id or a prompt part whose bytes aren't UTF-8 was enough, and each daemon that wrote the name into an order, a record of a stream or a report ended with it.

Cause: the library throws when it writes a string that isn't UTF-8, unless told to replace such bytes. Header fields may hold any bytes, and they reach orders (the adapter), records of streams and blocked parts (their ids) and the operators' reports. These are written from timers and from handlers of other connections, where nothing catches the exception; names also travel to peers, whose messages don't check texts.

Now write_json in core/json_text is the only place that writes a JSON value to text, and it replaces what isn't UTF-8, as claims, responses and log lines did before. An order for such an adapter names one that doesn't exist, as for every unknown name. Keys of records are fingerprints of the original bytes, so no two records meet.

Test: daemons_keep_running_after_names_that_are_not_utf8 found all three daemons ended before and no chat of three complete; it passed in four runs of four after (three alone, one within fleet_test, which passes). contract_test and policy_test pass. All three kinds of names are sent in one test; which of them ended the daemons first was not taken apart.

Ruled out: refusing such requests with a 400. A request id is the client's to choose, and requests that the configuration allows aren't to be denied. Not kept: the block of a prompt part with such an id, over a kill of all daemons, because its record names the replaced id.

--- a/core/json_text.cpp
+++ b/core/json_text.cpp
@@ -104,9 +104,8 @@
                                      const std::string& least,
                                      const std::string& greatest)
 {
-    const std::string text = value.dump(-1, ' ', false, json::error_handler_t::replace);
-    throw json_error(text.substr(0, max_error_bytes) + " is not " + expected + " from " +
-                     least + " to " + greatest);
+    throw json_error(write_json(value).substr(0, max_error_bytes) + " is not " +
+                     expected + " from " + least + " to " + greatest);
 }
 
 // The value as an integer, if it is one that 64 bits hold.
@@ -160,6 +159,11 @@
     }
 }
 
+std::string write_json(const json& value)
+{
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
 double checked_number(const json& value, double least, double greatest)
 {
     // The comparison is false for a number that isn't finite.
--- a/core/json_text.hpp
+++ b/core/json_text.hpp
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <limits>
 #include <stdexcept>
+#include <string>
 #include <string_view>
 
 namespace pollenhaven
@@ -43,6 +44,10 @@
 // Parses JSON text as parse_json() does, but returns null instead of throwing.
 nlohmann::json parse_json_or_null(std::string_view text);
 
+// Writes JSON text. Texts in the value may hold any bytes of a caller; those that aren't
+// UTF-8 are replaced.
+std::string write_json(const nlohmann::json& value);
+
 // Each converts a number from another process. They throw json_error, which names the
 // value and the range, if it is no number or not in the range from `least` to `greatest`.
 double checked_number(const nlohmann::json& value, double least, double greatest);
--- a/modules/openai_callers/openai_callers.cpp
+++ b/modules/openai_callers/openai_callers.cpp
@@ -196,10 +196,9 @@
     json others = json::array();
     for (std::size_t i = 1; i < addresses.size(); ++i)
         others.push_back(addresses[i].value);
-    return json{{"address", addresses.front().value},
-                {"others", others},
-                {"lifetime_s", lifetime.count()}}
-        .dump();
+    return write_json({{"address", addresses.front().value},
+                       {"others", others},
+                       {"lifetime_s", lifetime.count()}});
 }
 
 std::string write_response_fields(const caller_request& request)
--- a/policy/call_claim.cpp
+++ b/policy/call_claim.cpp
@@ -40,7 +40,7 @@
                              {"body", record.body}};
     if (!record.has_length)
         object["has_length"] = false;
-    return object.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return write_json(object);
 }
 
 claim_record decode_claim(const std::string& text)
--- a/policy/crash_history.cpp
+++ b/policy/crash_history.cpp
@@ -27,7 +27,7 @@
     if (!parsed.is_object())
         return body;
     remove_volatile_fields(parsed);
-    return parsed.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+    return write_json(parsed);
 }
 
 } // namespace
--- a/servers/gateway/base_versions.cpp
+++ b/servers/gateway/base_versions.cpp
@@ -88,8 +88,7 @@
     transaction.expected.push_back({key, known == context_.fleet.base_versions.end()
                                              ? store_revision{}
                                              : known->second.revision});
-    transaction.writes.push_back(
-        {key, nlohmann::json{{"version", version.value}}.dump(), 0});
+    transaction.writes.push_back({key, write_json({{"version", version.value}}), 0});
     // The watch shows the result, also if the response is lost.
     client_.call(context_.dialect.transaction_call(transaction), call_timeout,
                  [this, service](const http_result& result)
--- a/servers/gateway/block_records.cpp
+++ b/servers/gateway/block_records.cpp
@@ -28,10 +28,9 @@
 {
     const milliseconds next_trial_at =
         wall_clock_milliseconds() + to_milliseconds(block.next_trial_at - now);
-    return nlohmann::json{{"part", part.value},
-                          {"trials", block.trials},
-                          {"next_trial_at_ms", next_trial_at.count()}}
-        .dump();
+    return write_json({{"part", part.value},
+                       {"trials", block.trials},
+                       {"next_trial_at_ms", next_trial_at.count()}});
 }
 
 } // namespace
--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -28,10 +28,9 @@
 
 std::string encode_holder(const gateway_context& context, const daemon_id& previous)
 {
-    return nlohmann::json{{"daemon", context.settings.id.value},
-                          {"incarnation", context.incarnation.value},
-                          {"previous", previous.value}}
-        .dump();
+    return write_json({{"daemon", context.settings.id.value},
+                       {"incarnation", context.incarnation.value},
+                       {"previous", previous.value}});
 }
 
 // Returns a string field of an entry; empty if the field is missing or not a string.
@@ -221,7 +220,7 @@
                                {"incarnation", context_.incarnation.value}};
     store_transaction transaction;
     transaction.writes.push_back(
-        {member_prefix + context_.settings.id.value, value.dump(), lease_});
+        {member_prefix + context_.settings.id.value, write_json(value), lease_});
     for (const auto& [endpoint, permission] : permissions_)
         if (transaction.expected.size() + 1 < max_transaction_entries)
             transaction.expected.push_back(
--- a/servers/gateway/gateway_reports.cpp
+++ b/servers/gateway/gateway_reports.cpp
@@ -1,6 +1,6 @@
 #include "servers/gateway/gateway_reports.hpp"
 
-#include <nlohmann/json.hpp>
+#include "core/json_text.hpp"
 
 namespace pollenhaven
 {
@@ -126,13 +126,13 @@
                                            const gateway_activity& activity)
 {
     if (name == "status")
-        return status_report(context, activity).dump();
+        return write_json(status_report(context, activity));
     if (name == "endpoints")
-        return endpoints_report(context).dump();
+        return write_json(endpoints_report(context));
     if (name == "adapters")
-        return adapters_report(context).dump();
+        return write_json(adapters_report(context));
     if (name == "members")
-        return members_report(context).dump();
+        return write_json(members_report(context));
     return std::nullopt;
 }
 
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -1,7 +1,8 @@
 #include "servers/gateway/http_server.hpp"
 
+#include "core/json_text.hpp"
+
 #include <boost/beast/http/status.hpp>
-#include <nlohmann/json.hpp>
 
 #include <array>
 #include <cstdio>
@@ -177,8 +178,7 @@
                                verdict_field + ": " + verdict_name + "\r\n";
     if (reason.retry_after)
         header_lines += "Retry-After: " + seconds_text(*reason.retry_after) + "\r\n";
-    send_response(caller, reason.http_status, header_lines,
-                  body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace));
+    send_response(caller, reason.http_status, header_lines, write_json(body));
 }
 
 void http_server::begin_response(stream_id caller, int status, const std::string& fields,
--- a/servers/gateway/stream_records.cpp
+++ b/servers/gateway/stream_records.cpp
@@ -1,10 +1,9 @@
 #include "servers/gateway/stream_records.hpp"
 
+#include "core/json_text.hpp"
 #include "policy/crash_history.hpp"
 #include "servers/gateway/base_versions.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -41,7 +40,7 @@
 
 std::string encode_record(const request_id& stream, const software_version& version)
 {
-    return nlohmann::json{{"stream", stream.value}, {"version", version.value}}.dump();
+    return write_json({{"stream", stream.value}, {"version", version.value}});
 }
 
 const char* to_text(origin_source source)
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -197,6 +197,37 @@
     }
 }
 
+// Guards against bytes in a caller's header that aren't UTF-8 and end the daemons that
+// write them into an order, a record or a report.
+BOOST_AUTO_TEST_CASE(daemons_keep_running_after_names_that_are_not_utf8)
+{
+    fleet_options options;
+    options.stream_attempts = 2;
+    options.resumable_chats = true;
+    options.engine_software = {"v1", "v2"};
+    fleet deployment(options);
+    for (const std::string odd : {"\xff\xfe", "\xc3", "\xed\xa0\x80"})
+        for (int daemon = 0; daemon < 3; ++daemon)
+        {
+            deployment.send_platform_chat(daemon, "id-" + odd + std::to_string(daemon),
+                                          "a1");
+            deployment.send_platform_chat(daemon, "odd-" + std::to_string(daemon),
+                                          "a" + odd);
+            deployment.send_platform_chat(daemon, "parts-" + std::to_string(daemon), "a1",
+                                          odd + ":5,ab:5");
+            get(deployment.operator_address(daemon), "/v1/endpoints");
+        }
+    std::this_thread::sleep_for(milliseconds(1000));
+    for (int daemon = 0; daemon < 3; ++daemon)
+    {
+        BOOST_TEST(deployment.daemon(daemon).running());
+        BOOST_TEST(
+            is_complete_stream(deployment.send_platform_chat(
+                                   daemon, "after-" + std::to_string(daemon), "a1"),
+                               5));
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_engine_gets_no_requests_after_two_seconds)
 {
     const fleet deployment;
