Feed odd values to each reader of the platform's texts and of callers' bodies

Nothing was wrong here that callers could see: this adds a test, after the faults that it looks for were fixed one by one. A reader that throws another error than the one its callers handle ends the process, as nlohmann's errors aren't runtime errors and most handlers catch dialect_error only.

The test replaces a random span of a valid text by an odd value (null, a number too large, a long or invalid string, a byte 0, an empty or deeply nested list, nothing) or by a random byte, and asks that the reader accepts it or throws the error that is handled. Readers: endpoint entries, reports, configurations, adapter versions, pages, watches, transactions, leases, base versions, claims, fingerprints of bodies, and bodies of the OpenAI interface.

It wasn't run on the code before the fixes, where deep values end the test itself. Not covered: member, holder and block entries, whose readers are inside of their owners; peer messages have a property of their own in fleet_wire_test.

--- a/tests/contract/odd_values_test.cpp
+++ b/tests/contract/odd_values_test.cpp
@@ -14,7 +14,11 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <cstdlib>
 #include <fstream>
+#include <functional>
+#include <random>
 
 using namespace pollenhaven;
 
@@ -68,6 +72,91 @@
     }
 };
 
+// Values that no field means, each as JSON.
+const std::vector<std::string> odd_json{
+    "null", "true", "-1",          "1e300",      "18446744073709551616",
+    "0.5",  "\"\"", "\"\\u0000\"", "\"\xff\"",   "\"" + std::string(100'000, 'x') + "\"",
+    "[]",   "{}",   "[[1]]",       "{\"a\":{}}", nested_list(200),
+    ""};
+
+// Replaces a random span of the text by an odd value, or by one random byte.
+std::string with_odd_span(const std::string& text, std::mt19937& random)
+{
+    const std::size_t from = random() % text.size();
+    const std::size_t length = random() % 12;
+    const std::string& odd = odd_json[random() % odd_json.size()];
+    const std::string byte(1, static_cast<char>(random()));
+    return std::string(text).replace(from, std::min(length, text.size() - from),
+                                     random() % 2 == 0 ? odd : byte);
+}
+
+// Whether a reader accepts the text or throws the error that its callers handle.
+template <class Error>
+bool is_handled(const std::function<void(const std::string&)>& read,
+                const std::string& text)
+{
+    try
+    {
+        read(text);
+        return true;
+    }
+    catch (const Error&)
+    {
+        return true;
+    }
+    catch (const std::exception&)
+    {
+        return false;
+    }
+}
+
+std::vector<std::pair<std::function<void(const std::string&)>, std::string>>
+readers_of_the_platform()
+{
+    const platform_dialect platform = dialect();
+    const std::string inventory =
+        R"("models":[{"name":"base","adapters":["a1@2"]}],"pending":["base/a2@3"],)"
+        R"("seq":4,"running":1,"waiting":2})";
+    return {
+        {[=](const std::string& text) { platform.read_endpoint(endpoint_item(text)); },
+         R"({"service":"s","addr":"10.0.0.1:80","zone":"z","version":"v","slots":16,)"
+         R"("state":"draining","remainingMs":500,"born":7,)" +
+             inventory},
+        {[=](const std::string& text) { platform.read_report(text); }, "{" + inventory},
+        {[=](const std::string& text) { platform.read_routing(text); },
+         R"({"version":1,"routes":[{"name":"r","host":"h","pathPrefix":"/","kind":)"
+         R"("streaming","split":[{"service":"s","weight":1}],"timeoutMs":9,)"
+         R"("maxAttempts":2,"resumable":true}],"services":[{"name":"s","maxConns":9,)"
+         R"("engine":{"slots":4,"adapterSlots":4,"weightsMb":9,"models":[{"name":"b"}]}}],)"
+         R"("limits":{"maxHeaderBytes":9,"idleTimeoutMs":9}})"},
+        {[=](const std::string& text) { platform.read_version(text); },
+         R"({"model":"base","adapter":"a1","version":2})"},
+        {[=](const std::string& text) { platform.read_page(text); },
+         R"({"items":[{"key":"k","revision":3,"value":"e30="}],"morePages":false,)"
+         R"("currentRev":9})"},
+        {[=](const std::string& text) { platform.read_watch(text); },
+         R"({"events":[{"key":"k","revision":3,"deleted":true}],"currentRev":9})"},
+        {[=](const std::string& text) { platform.read_transaction(text); },
+         R"({"revision":9})"},
+        {[=](const std::string& text) { platform.read_lease(text); },
+         R"({"lease":9,"ttlMs":9})"},
+        {[](const std::string& text) { decode_software_version(text); },
+         R"({"version":"v"})"},
+        {[](const std::string& text) { decode_claim(text); },
+         R"({"done":true,"attempt":"a","fingerprint":"f","claimed_ms":5,"status":200,)"
+         R"("body":"b","has_length":false})"},
+        {[](const std::string& text) { content_fingerprint("/chat", text); },
+         R"({"model":"base","user":"u","messages":[{"content":"c"}]})"}};
+}
+
+// More cases by hand: ODD_VALUE_CASES=1000000.
+int fuzz_cases()
+{
+    constexpr int cases_in_ci = 1000;
+    const char* const stated = std::getenv("ODD_VALUE_CASES");
+    return stated == nullptr ? cases_in_ci : std::atoi(stated);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_SUITE(odd_values)
@@ -437,4 +526,41 @@
     }
 }
 
+// Guards against an odd value for which a reader throws an error that its callers don't
+// handle, so that the process ends.
+BOOST_AUTO_TEST_CASE(readers_accept_an_odd_value_or_throw_the_error_that_is_handled)
+{
+    constexpr unsigned seed = 20261205;
+    std::mt19937 random(seed);
+    for (const auto& [read, valid] : readers_of_the_platform())
+    {
+        BOOST_CHECK_NO_THROW(read(valid));
+        for (int number = 0; number < fuzz_cases(); ++number)
+        {
+            const std::string text = with_odd_span(valid, random);
+            BOOST_REQUIRE_MESSAGE(is_handled<dialect_error>(read, text),
+                                  text.substr(0, 300));
+        }
+    }
+}
+
+// The same for the bodies of callers.
+BOOST_AUTO_TEST_CASE(an_odd_body_of_a_caller_is_read_or_refused)
+{
+    constexpr unsigned seed = 20261206;
+    std::mt19937 random(seed);
+    const caller_interface openai =
+        plugin_registry<caller_interface>::instance().make("openai", "");
+    const std::string valid =
+        R"({"model":"base/a1@2","max_tokens":7,"messages":[{"content":[{"text":"t"}]}]})";
+    const auto read = [&](const std::string& body)
+    { openai.read_request(chat_head(), body); };
+    BOOST_CHECK_NO_THROW(read(valid));
+    for (int number = 0; number < fuzz_cases(); ++number)
+    {
+        const std::string body = with_odd_span(valid, random);
+        BOOST_REQUIRE_MESSAGE(is_handled<request_error>(read, body), body.substr(0, 300));
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
