Claim an engine again after another writer has replaced its holder's entry

Callers of adapters that an engine doesn't hold were refused for good, once the entry of the engine's holder could no longer be read: no daemon sent it orders any more, until somebody removed the entry.

Cause: an odd entry was taken for none. The holder gave up its permission, and each claim was written on the condition that the key doesn't exist, which never held, since the entry was there.

Now the entry counts as one of the holder known before, at the revision of the odd one and without an incarnation. That holder loses its permission and claims the engine again at once, over the odd entry and with a higher token; other daemons leave it alone while its lease holds. A daemon that knew no holder takes the engine for taken over from a daemon that is gone, so it waits as long as for one: whoever held it may still send orders. The log says `holder entry malformed`.

Test: an_engine_is_claimed_again_after_its_holder_entry_became_odd got no new adapter within 15 s before (first half: an entry replaced while the daemons run; the second, daemons that start beside it, was added after the fix and not run before it).

Ruled out: claiming with the odd entry's revision and no holder, because two daemons could then take turns within the time that separates the orders of two holders.

--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -11,6 +11,8 @@
 constexpr const char* daemon_prefix = "pollenhaven/";
 constexpr const char* member_prefix = "pollenhaven/members/";
 constexpr const char* holder_prefix = "pollenhaven/orders/";
+// Not the id of any daemon.
+constexpr const char* unknown_holder = "(unknown)";
 
 constexpr int status_ok = 200;
 constexpr int status_not_found = 404;
@@ -55,6 +57,21 @@
     return result;
 }
 
+// An entry of another writer doesn't tell who holds the engine. The holder that was known
+// before may still send orders, so it counts as the holder until the next claim. Without
+// one, the engine counts as taken over from a daemon that is gone.
+holder_record holder_of_odd_entry(const holder_record* known, const store_item& item)
+{
+    holder_record result;
+    result.daemon = {unknown_holder};
+    if (known != nullptr)
+        result = *known;
+    result.incarnation = {};
+    result.revision = item.revision;
+    result.era = item.era;
+    return result;
+}
+
 } // namespace
 
 fleet_membership::fleet_membership(
@@ -427,11 +444,17 @@
 void fleet_membership::on_holder(const endpoint_id& endpoint, const store_item& item)
 {
     handle_new_era();
-    const std::optional<holder_record> entry = decode_holder(item);
+    const auto known = holders_.find(endpoint);
+    std::optional<holder_record> entry = decode_holder(item);
+    if (!entry && !item.deleted)
+    {
+        context_.log.write("holder entry malformed", {{"key", item.key}});
+        entry =
+            holder_of_odd_entry(known == holders_.end() ? nullptr : &known->second, item);
+    }
     const std::uint64_t token = fencing_token(position_of(item));
     const bool is_own = entry && entry->daemon == context_.settings.id &&
                         entry->incarnation == context_.incarnation;
-    const auto known = holders_.find(endpoint);
     const bool continues = unconfirmed_permissions_.erase(endpoint) > 0 && is_own &&
                            known != holders_.end() &&
                            known->second.revision == entry->revision;
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -228,6 +228,25 @@
     }
 }
 
+// Guards against a holder's entry that another writer has replaced, after which no daemon
+// can claim the engine any more.
+BOOST_AUTO_TEST_CASE(an_engine_is_claimed_again_after_its_holder_entry_became_odd)
+{
+    fleet_options options;
+    options.engines = 1;
+    fleet deployment(options);
+    BOOST_TEST(deployment.send_platform_chat(0, "before", "a1").status == 200);
+    deployment.put_store_item("pollenhaven/orders/i-0", "not an entry");
+    std::this_thread::sleep_for(milliseconds(500));
+    // A takeover of the engine of a lost daemon takes up to 9 s.
+    BOOST_TEST(time_until_served(deployment, 0, "a2", seconds(15)).count() < 10'000);
+    // No daemon has seen the entry before.
+    deployment.kill_all_daemons();
+    deployment.put_store_item("pollenhaven/orders/i-0", "not an entry");
+    BOOST_REQUIRE(deployment.start_all_daemons());
+    BOOST_TEST(time_until_served(deployment, 0, "a3", seconds(15)).count() < 10'000);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_engine_gets_no_requests_after_two_seconds)
 {
     const fleet deployment;
