--- a/servers/gateway/stream_records.cpp
+++ b/servers/gateway/stream_records.cpp
@@ -1,6 +1,6 @@
 #include "servers/gateway/stream_records.hpp"
 
-#include <nlohmann/json.hpp>
+#include "core/json_text.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -14,8 +14,8 @@
 constexpr int status_ok = 200;
 constexpr milliseconds call_timeout{900};
 constexpr milliseconds retry_interval{100};
-// A stream waits for its record up to this long. Callers give a stream up after a gap of
-// two seconds or more.
+// A stream waits for its record up to this long. Callers give a stream up after a gap
+// of two seconds or more.
 constexpr milliseconds max_record_wait{1500};
 // The store's limit on the entries of one transaction.
 constexpr std::size_t max_batch_entries = 32;
@@ -25,7 +25,7 @@
 
 std::string encode_record(const request_id& stream, const software_version& version)
 {
-    return nlohmann::json{{"stream", stream.value}, {"version", version.value}}.dump();
+    return write_json({{"stream", stream.value}, {"version", version.value}});
 }
 
 } // namespace
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -197,6 +197,56 @@
     }
 }
 
+// Guards against bytes in a caller's header that aren't UTF-8 and end the daemons that
+// write them into an order, a record or a report.
+BOOST_AUTO_TEST_CASE(daemons_keep_running_after_names_that_are_not_utf8)
+{
+    fleet_options options;
+    options.stream_attempts = 2;
+    options.resumable_chats = true;
+    options.engine_software = {"v1", "v2"};
+    fleet deployment(options);
+    for (const std::string odd : {"\xff\xfe", "\xc3", "\xed\xa0\x80"})
+        for (int daemon = 0; daemon < 3; ++daemon)
+        {
+            deployment.send_platform_chat(daemon, "id-" + odd + std::to_string(daemon),
+                                          "a1");
+            deployment.send_platform_chat(daemon, "odd-" + std::to_string(daemon),
+                                          "a" + odd);
+            deployment.send_platform_chat(daemon, "parts-" + std::to_string(daemon), "a1",
+                                          odd + ":5,ab:5");
+            get(deployment.operator_address(daemon), "/v1/endpoints");
+        }
+    std::this_thread::sleep_for(milliseconds(1000));
+    for (int daemon = 0; daemon < 3; ++daemon)
+    {
+        BOOST_TEST(deployment.daemon(daemon).running());
+        BOOST_TEST(
+            is_complete_stream(deployment.send_platform_chat(
+                                   daemon, "after-" + std::to_string(daemon), "a1"),
+                               5));
+    }
+}
+
+// Guards against a holder's entry that another writer has replaced, after which no daemon
+// can claim the engine any more.
+BOOST_AUTO_TEST_CASE(an_engine_is_claimed_again_after_its_holder_entry_became_odd)
+{
+    fleet_options options;
+    options.engines = 1;
+    fleet deployment(options);
+    BOOST_TEST(deployment.send_platform_chat(0, "before", "a1").status == 200);
+    deployment.put_store_item("pollenhaven/orders/i-0", "not an entry");
+    std::this_thread::sleep_for(milliseconds(500));
+    // A takeover of the engine of a lost daemon takes up to 9 s.
+    BOOST_TEST(time_until_served(deployment, 0, "a2", seconds(15)).count() < 10'000);
+    // No daemon has seen the entry before.
+    deployment.kill_all_daemons();
+    deployment.put_store_item("pollenhaven/orders/i-0", "not an entry");
+    BOOST_REQUIRE(deployment.start_all_daemons());
+    BOOST_TEST(time_until_served(deployment, 0, "a3", seconds(15)).count() < 10'000);
+}
+
 BOOST_AUTO_TEST_CASE(a_draining_engine_gets_no_requests_after_two_seconds)
 {
     const fleet deployment;
