Have a stream that has begun wait for a place as long as its caller does

A resumable stream whose engine broke it off was cut off at its caller at once if no other engine could take it at that moment: no free place, an engine that had asked to wait, no engine of the version that began it, an adapter whose load would take too long, or a budget of repetitions used up. A request that hasn't begun is refused then, and comes back; a stream that has begun can only be cut off, which costs the caller what it has, while callers wait two seconds or four targets for the next event. Such a stream now stays in the queue until that time after its last bytes, or its deadline, and is dispatched as soon as something can take it.

Before, three new tests failed, in one run: a place that becomes free 0.8 s later, an engine of the version that comes back after 0.8 s, and a stream that finds none, which ended after 63 ms instead of its caller's 2 s. After it, all tests of silent engines passed in each of five runs, and all other contract and policy tests, cut_off_test and stream_version_test (processes) in one.

--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -283,6 +283,18 @@
     return decision;
 }
 
+bool may_find_endpoint(const fleet_view& fleet, const dispatch_query& query, instant now)
+{
+    return std::any_of(
+        fleet.endpoints.begin(), fleet.endpoints.end(),
+        [&](const auto& entry)
+        {
+            const endpoint_view& endpoint = entry.second;
+            return endpoint.record.service == query.service && !is_gone(endpoint, now) &&
+                   (query.failed == nullptr || !query.failed->contains(entry.first));
+        });
+}
+
 std::optional<endpoint_id>
 choose_engine_for_load(const fleet_view& fleet, const dispatch_query& query, instant now)
 {
--- a/policy/fleet/endpoint_selection.hpp
+++ b/policy/fleet/endpoint_selection.hpp
@@ -52,6 +52,11 @@
 dispatch_decision choose_endpoint(const fleet_view& fleet, const dispatch_query& query,
                                   instant now);
 
+// Returns true if the service has an endpoint, other than the failed ones of the query,
+// that could take the request later. One that drains or runs another software version
+// counts, because endpoints are replaced by others.
+bool may_find_endpoint(const fleet_view& fleet, const dispatch_query& query, instant now);
+
 // Selects the engine that should load an adapter. Engines are ranked by rendezvous
 // hashing, so that all daemons tend to agree without communicating. The rank is weighed
 // against queued loads, requests in flight and recent failures; an engine that had the
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -69,9 +69,8 @@
     if (exchange.software &&
         !registered_versions(context_.fleet, exchange.service, now).empty() &&
         !is_version_serving(context_.fleet, exchange.service, *exchange.software, now))
-        return refuse_or_fail(exchange, "stream_version_unavailable",
-                              "no endpoint runs the software version that began the "
-                              "stream");
+        return end_wait(exchange, "stream_version_unavailable",
+                        "no endpoint runs the software version that began the stream");
     if (relay_to_peer(exchange))
         return;
     if (exchange.is_from_peer && is_cut_off(context_.links))
@@ -89,20 +88,28 @@
     if (decision.needs_permit)
         permits_.request(*decision.needs_permit);
     if (decision.denied_until && *decision.denied_until > exchange.wait_deadline)
-        return refuse_or_fail(exchange, "request_limit",
-                              "all endpoints of the service have reached the limits that "
-                              "they state, or have asked to wait",
-                              *decision.denied_until);
+        return end_wait(exchange, "request_limit",
+                        "all endpoints of the service have reached the limits that "
+                        "they state, or have asked to wait",
+                        *decision.denied_until);
     if (decision.needs_load && exchange.load_engine &&
         now + expected_load_time(context_.fleet, *exchange.load_engine) >
             exchange.wait_deadline)
-        return refuse_or_fail(exchange, "load_too_late",
-                              "the adapter can't be loaded in time");
+        return end_wait(exchange, "load_too_late", "the adapter can't be loaded in time");
     if (now >= exchange.wait_deadline)
         refuse_or_fail(exchange, "no_endpoint",
                        "no endpoint can run the request in time");
 }
 
+void request_flow::end_wait(http_exchange& exchange, const std::string& code,
+                            const std::string& message, instant retry_at)
+{
+    if (exchange.phase == exchange_phase::resuming &&
+        context_.loop.now() < exchange.wait_deadline)
+        return;
+    refuse_or_fail(exchange, code, message, retry_at);
+}
+
 dispatch_query request_flow::dispatch_query_for(http_exchange& exchange)
 {
     exchange.excluded_endpoints = exchange.failed_endpoints;
@@ -177,8 +184,7 @@
         !take_retry(attempts_[exchange.service], context_.settings.retry_budget,
                     live_member_count(context_.fleet), now))
     {
-        return refuse_or_fail(exchange, "retry_budget",
-                              "too many requests are sent again");
+        return end_wait(exchange, "retry_budget", "too many requests are sent again");
     }
     endpoint_view& view = context_.fleet.endpoints.at(endpoint);
     exchange.permit = use_permit(view.limit, now);
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -187,6 +187,10 @@
     // Refuses a request that certainly didn't run, and fails any other.
     void refuse_or_fail(http_exchange& exchange, const std::string& code,
                         const std::string& message, instant retry_at = {});
+    // Ends a request that finds no endpoint at present. A stream that has begun can't be
+    // refused any more, so it waits on as long as its caller does.
+    void end_wait(http_exchange& exchange, const std::string& code,
+                  const std::string& message, instant retry_at = {});
     // Ends a request with an error. The verdict follows from its attempts so far.
     void fail(http_exchange& exchange, int status, const std::string& code,
               const std::string& message);
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -415,9 +415,12 @@
     const instant now = context_.loop.now();
     if (exchange.request.adapter.empty() && !is_cut_off(context_.links))
     {
-        const dispatch_decision other =
-            choose_endpoint(context_.fleet, dispatch_query_for(exchange), now);
-        if (!other.endpoint && !other.needs_permit)
+        const dispatch_query query = dispatch_query_for(exchange);
+        const dispatch_decision other = choose_endpoint(context_.fleet, query, now);
+        // A stream that has begun can wait, because its caller does.
+        const bool may_wait =
+            response_has_begun(exchange) && may_find_endpoint(context_.fleet, query, now);
+        if (!other.endpoint && !other.needs_permit && !may_wait)
             return fail(exchange, status_bad_gateway, "endpoint_failed", reason);
     }
     // Another engine may have to load the adapter first, so the wait deadline is
@@ -426,6 +429,11 @@
         std::max(exchange.wait_deadline,
                  now + max_wait_time(*exchange.matched_route,
                                      to_milliseconds(exchange.deadline - now)));
+    // The caller of a stream waits for the next event.
+    if (response_has_begun(exchange))
+        exchange.wait_deadline =
+            std::max(exchange.wait_deadline,
+                     exchange.last_chunk_at + abandonment_time(*exchange.matched_route));
     exchange.load_requested_at = {};
     wait_for_endpoint(exchange);
 }
--- a/tests/contract/silent_engine_test.cpp
+++ b/tests/contract/silent_engine_test.cpp
@@ -45,6 +45,11 @@
         };
     }
 
+    void break_off_after_first_event(scripted_endpoint& endpoint)
+    {
+        endpoint.scripts = {{stream_head + chunk(event_a), false, true}};
+    }
+
     std::string send_and_measure(const std::string& path)
     {
         const instant begin = boot_clock::now();
@@ -114,4 +119,57 @@
     BOOST_TEST(test.second.requests.size() == 1U);
 }
 
+// Guards against a stream that is cut off because no other engine has a place for it when
+// its engine breaks it off, although one has soon after.
+BOOST_AUTO_TEST_CASE(a_resumed_stream_waits_for_a_place)
+{
+    silent_fixture test;
+    test.add_endpoints("assistant");
+    test.break_off_after_first_event(test.first);
+    test.second.scripts = {{stream_head + chunk(event_b) + last_chunk}};
+    endpoint_view& other = test.context.fleet.endpoints.at({"i-2"});
+    other.backoff_until = test.context.loop.now() + milliseconds(800);
+    BOOST_TEST(is_whole_stream(test.send_request("/again/1")));
+    BOOST_TEST(test.second.requests.size() == 1U);
+}
+
+// As above, with no engine of the software version that began the stream.
+BOOST_AUTO_TEST_CASE(a_resumed_stream_waits_for_its_software_version)
+{
+    silent_fixture test;
+    test.add_endpoints("assistant");
+    test.break_off_after_first_event(test.first);
+    test.second.scripts = {{stream_head + chunk(event_b) + last_chunk}};
+    const auto view = [&](const char* id) -> endpoint_view&
+    { return test.context.fleet.endpoints.at({id}); };
+    view("i-1").record.software = {"v1"};
+    view("i-2").record.software = {"v1"};
+    view("i-2").draining = true;
+    test.context.loop.schedule_after(milliseconds(100),
+                                     [&] { view("i-1").gone_at = boot_clock::now(); });
+    test.context.loop.schedule_after(milliseconds(800),
+                                     [&] { view("i-2").draining = false; });
+    BOOST_TEST(is_whole_stream(test.send_request("/again/1")));
+    BOOST_TEST(test.second.requests.size() == 1U);
+}
+
+// Guards against a stream that is never ended although no engine can go on with it, and
+// against one that is ended while its caller still waits.
+BOOST_AUTO_TEST_CASE(a_stream_that_finds_no_place_is_ended_when_its_caller_gives_up)
+{
+    silent_fixture test;
+    test.add_endpoints("assistant");
+    test.break_off_after_first_event(test.first);
+    constexpr seconds longer_than_the_test{60};
+    test.context.fleet.endpoints.at({"i-2"}).backoff_until =
+        test.context.loop.now() + longer_than_the_test;
+    const std::string response = test.send_and_measure("/again/1");
+    BOOST_TEST(contains(response, event_a));
+    BOOST_TEST(!response.ends_with(last_chunk));
+    BOOST_TEST(test.ended);
+    BOOST_TEST(test.elapsed.count() >= callers_gap.count());
+    // The route's timeout is several times as long.
+    BOOST_TEST(test.elapsed.count() < 2 * callers_gap.count());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
