Guard streams through a pause of all engines with a process test

The test stops the processes of both engines for 1.5 s while six callers stream through two daemons, has them go on, and asks that each stream is whole, that no daemon's log tells of a cut or of a crashed endpoint, and that the same content is served afterwards. Probes of the links connect to a stopped process, so its silence isn't a cut, and a crash needs a refused connection.

--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -151,9 +151,15 @@
                        "--event-ms=" + std::to_string(options_.event_interval_ms),
                        "--store=" + store_address_,
                        "--entry=" + engine_entry(engine, "ready").dump()});
+        engine_standins_.push_back(standins_.size() - 1);
     }
 }
 
+void fleet::signal_engine(int engine, int number) const
+{
+    standins_.at(engine_standins_.at(static_cast<std::size_t>(engine))).signal(number);
+}
+
 void fleet::start_service_endpoints()
 {
     const auto add = [&](const std::string& id, const std::string& service)
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -110,6 +110,8 @@
     void set_engine_state(int engine, const std::string& state) const;
     // Removes the engine's entry from the store. Its process keeps running.
     void remove_engine(int engine) const;
+    // Sends a signal to the engine's process.
+    void signal_engine(int engine, int number) const;
     // Sets the mode of the proxies between a daemon and all endpoints.
     void set_links(int daemon, const std::string& mode) const;
     // While the store is down, it answers every call with status 503.
@@ -165,6 +167,8 @@
     std::string store_address_;
     std::string service_endpoint_address_;
     std::vector<std::string> engine_addresses_;
+    // The places of the engines' processes in `standins_`.
+    std::vector<std::size_t> engine_standins_;
     // The engine addresses that the daemons use: those of the proxies, if there are any.
     std::vector<std::string> advertised_engine_addresses_;
     std::vector<std::string> engine_proxy_control_addresses_;
--- a/tests/process/connection_test.cpp
+++ b/tests/process/connection_test.cpp
@@ -3,6 +3,9 @@
 #define BOOST_TEST_MODULE connections
 #include "tests/process/checks.hpp"
 
+#include <csignal>
+#include <fstream>
+#include <sstream>
 #include <thread>
 
 using namespace pollenhaven::harness;
@@ -14,6 +17,13 @@
 
 constexpr int long_response_tokens = 100;
 
+std::string log_of(const fleet& deployment, int daemon)
+{
+    std::ostringstream text;
+    text << std::ifstream(deployment.log_path(daemon)).rdbuf();
+    return text.str();
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_silent_engine_connection_is_resumed_where_it_stopped)
@@ -42,6 +52,53 @@
     BOOST_TEST(deployment.engine_total("resumed") >= 1);
 }
 
+// Guards against engines that fall silent for a second or so and are taken for crashed or
+// cut off: streams that are broken off, and content that is blocked.
+BOOST_AUTO_TEST_CASE(streams_of_engines_that_pause_are_whole_and_nothing_is_blocked)
+{
+    constexpr int callers = 6;
+    fleet_options options;
+    options.daemons = 2;
+    options.stream_attempts = 2;
+    options.event_interval_ms = 20;
+    const fleet deployment(options);
+    const auto model = [](int caller) { return "base/a" + std::to_string(caller % 3); };
+    std::vector<stream_response> responses(callers);
+    std::vector<std::thread> threads;
+    threads.reserve(callers);
+    for (int caller = 0; caller < callers; ++caller)
+        threads.emplace_back(
+            [&, caller]
+            {
+                responses.at(static_cast<std::size_t>(caller)) =
+                    stream_chat(deployment.caller_address(caller % options.daemons),
+                                model(caller), "pause", long_response_tokens);
+            });
+    std::this_thread::sleep_for(seconds(1));
+    for (int engine = 0; engine < options.engines; ++engine)
+        deployment.signal_engine(engine, SIGSTOP);
+    std::this_thread::sleep_for(milliseconds(1500));
+    for (int engine = 0; engine < options.engines; ++engine)
+        deployment.signal_engine(engine, SIGCONT);
+    for (std::thread& thread : threads)
+        thread.join();
+    for (int caller = 0; caller < callers; ++caller)
+    {
+        const stream_response& response = responses.at(static_cast<std::size_t>(caller));
+        BOOST_TEST(response.done, response.error);
+        BOOST_TEST(response.text ==
+                   expected_text(model(caller), "pause", long_response_tokens));
+    }
+    for (int daemon = 0; daemon < options.daemons; ++daemon)
+    {
+        const std::string log = log_of(deployment, daemon);
+        BOOST_TEST(log.find("cut off from endpoints") == std::string::npos);
+        BOOST_TEST(log.find("endpoint crashed") == std::string::npos);
+        BOOST_TEST(
+            stream_chat(deployment.caller_address(daemon), model(0), "pause", 4).done);
+    }
+}
+
 BOOST_AUTO_TEST_CASE(a_stalled_store_watch_is_replaced)
 {
     fleet_options options;
