Write a last response although its caller's end is read first

A caller that sends a whole request and closes its sending side could get the end of its connection without any byte, neither an answer nor a refusal. The daemon refuses such a request, but writes output only at the end of a turn. If a timer is due in that turn, all sockets are read once more before it, and the end of the caller's input then closed the connection with the refusal still in the output. Each other last response of a connection had the same fault.

The end of the input no longer ends a stream that only has output left to write: reading is paused instead, and the stream is closed once its output is written. A connection that has ended altogether is reported by epoll although reading is paused, and is closed then, so there is neither a leak nor a loop without progress. A caller that has gone answers the output with a reset, or lets the bound on unconfirmed bytes pass.

Ruled out: that the refusal wasn't made, since it was logged.

--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -366,6 +366,10 @@
         source.input.shrink_to_fit();
         return;
     }
+    // What the stream's owner has sent last is still to be written. While reading is
+    // paused, only a connection that has ended altogether gets here.
+    if (count == 0 && source.closes_after_output && !source.reading_paused)
+        return pause_reading(id);
     if (count == 0)
         return end_stream(id, stream_end::finished);
     if (count < 0)
--- a/tests/contract/caller_connections_test.cpp
+++ b/tests/contract/caller_connections_test.cpp
@@ -422,4 +422,25 @@
     BOOST_TEST(test.context.loop.closing_streams() == 0U);
 }
 
+// Guards against a request whose caller closes its sending side and gets neither an
+// answer nor a refusal, because the end is read before the refusal has been written.
+BOOST_AUTO_TEST_CASE(a_refusal_is_written_although_the_end_of_its_caller_is_read_first)
+{
+    server_fixture test;
+    caller half_closed = test.connect();
+    test.act_after(milliseconds(1),
+                   [&]
+                   {
+                       half_closed.send(request);
+                       shutdown(half_closed.socket.number(), SHUT_WR);
+                       // A timer that is due has the sockets read once more before
+                       // anything is written.
+                       test.context.loop.schedule(
+                           test.context.loop.now() + std::chrono::microseconds(1), [] {});
+                   });
+    test.run_for(milliseconds(20));
+    half_closed.receive();
+    BOOST_TEST(half_closed.received.starts_with("HTTP/1.1 503"), half_closed.received);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
