Refuse requests that are read late in a planned stop

Callers could lose a request that a stopping daemon had read and passed on: a 200 with some events, and then the end of the process. A connection whose response began before SIGTERM stays open after it, as its head said so, and so do one with pipelined requests and one whose request was read in part. The next request on it was admitted at any time of the grace period, even if the process was to end before such a request usually does.

A request that is read after the first third of the grace period is now refused at once (503, stopping, not run), with a Retry-After. A third leaves more than half of the period for responses once the reserve for the exit is taken off. Peers that relay a request get the same refusal and try another daemon.

Ruled out: ending the connection behind the response whatever its head said, which drops requests that have arrived. Not covered: a request that was admitted earlier and still waits for an endpoint when the grace period ends, which routes with long timeouts allow.

--- a/main/control/explain_log.cpp
+++ b/main/control/explain_log.cpp
@@ -72,6 +72,7 @@
         {"retry_budget", "endpoints refused it and the shared budget for sending again "
                          "was used up"},
         {"no_configuration", "the daemon had no configuration yet"},
+        {"stopping", "the daemon was shutting down"},
         {"request_blocked", "requests with its content crashed endpoints"},
         {"prompt_part_blocked", "a part of its prompt crashed engines"},
         {"request_limit", "all endpoints of its service had reached the request limits "
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -43,6 +43,9 @@
 constexpr milliseconds stop_listening_after{400};
 constexpr milliseconds close_idle_after{800};
 constexpr milliseconds min_shutdown_duration{1500};
+// Requests that are read in the first third of the grace period are admitted. The rest of
+// it is for their responses.
+constexpr int grace_per_admission_time = 3;
 // Part of the grace period that is reserved for the exit of the process.
 constexpr milliseconds exit_reserve{700};
 constexpr std::size_t incarnation_bytes = 6;
@@ -565,6 +568,8 @@
 {
     context_.leaving = true;
     shutdown_began_ = context_.loop.now();
+    context_.admission_ends =
+        shutdown_began_ + context_.settings.stop_grace / grace_per_admission_time;
     context_.log.write(
         "stopping",
         {{"under_way", static_cast<std::int64_t>(flow_.requests_in_flight())}});
--- a/servers/gateway/gateway_context.hpp
+++ b/servers/gateway/gateway_context.hpp
@@ -47,6 +47,9 @@
     std::vector<load_observation> load_observations;
     // True after SIGTERM or SIGINT, while the daemon shuts down.
     bool leaving = false;
+    // While the daemon shuts down, requests that are read after this time are refused:
+    // the process might end before they do. None before the shutdown.
+    std::optional<instant> admission_ends;
     store_contact store;
     // When the era of a restored store was first seen, by this daemon or by a peer that
     // is up; none if the store was never restored.
--- a/servers/gateway/request_flow_admission.cpp
+++ b/servers/gateway/request_flow_admission.cpp
@@ -94,6 +94,9 @@
     exchange.deadline = exchange.arrived + time_limit;
     exchange.wait_deadline =
         exchange.arrived + max_wait_time(*exchange.matched_route, time_limit);
+    if (context_.admission_ends && exchange.arrived > *context_.admission_ends)
+        return refuse(exchange, "stopping",
+                      "the daemon shuts down and might end before the request does");
     // The daemon that relays a request counts it and holds its claim.
     if (!exchange.is_from_peer)
         count_request(attempts_[exchange.service], context_.settings.retry_budget,
--- a/tests/process/kept_connections_test.cpp
+++ b/tests/process/kept_connections_test.cpp
@@ -54,6 +54,14 @@
            "\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
 }
 
+std::string chat_request(const std::string& id)
+{
+    return "POST /chat/1 HTTP/1.1\r\nHost: " + std::string(fleet_host) +
+           "\r\nX-Pollenhaven-Request-Id: " + id +
+           "\r\nX-Pollenhaven-Model: base/start\r\nX-Pollenhaven-Token-Count: 100,50"
+           "\r\nContent-Length: 0\r\n\r\n";
+}
+
 // A connection of a caller to a daemon that is used for one request after the other.
 class kept_connection
 {
@@ -115,6 +123,8 @@
         const std::string head_end_mark = "\r\n\r\n";
         const std::size_t head_end = received_.find(head_end_mark);
         const std::size_t length = received_.find(length_field);
+        if (received_.find("Transfer-Encoding: chunked\r\n") < head_end)
+            return find_last_chunk(head_end);
         if (head_end == std::string::npos || length > head_end)
             return false;
         const std::size_t size =
@@ -126,6 +136,16 @@
         return true;
     }
 
+    bool find_last_chunk(std::size_t head_end)
+    {
+        const std::string last_chunk = "\r\n0\r\n\r\n";
+        const std::size_t end = received_.find(last_chunk, head_end);
+        if (end == std::string::npos)
+            return false;
+        response_size_ = end + last_chunk.size();
+        return true;
+    }
+
     pollenhaven::file_descriptor socket_;
     std::string received_;
     // The size of the response that receive() found at the front of `received_`.
@@ -343,6 +363,25 @@
     BOOST_TEST(deployment.daemon(0).wait(seconds(3)).value_or(-1) == 0);
 }
 
+// Guards against requests that are read late in a planned stop, passed on, and cut off
+// when the grace period is over.
+BOOST_AUTO_TEST_CASE(a_request_that_is_read_late_in_a_planned_stop_is_not_cut_off)
+{
+    fleet_options options = one_daemon();
+    options.grace_ms = 4000;
+    options.events_per_stream = 50;
+    options.event_interval_ms = 50;
+    fleet deployment(options);
+    kept_connection caller(deployment.caller_address(0));
+    caller.send(chat_request("early"));
+    std::this_thread::sleep_for(milliseconds(500));
+    // The head of the response in progress says that its connection stays open.
+    deployment.daemon(0).signal(SIGTERM);
+    BOOST_REQUIRE((caller.receive(seconds(5)) == request_end::answered));
+    caller.send(chat_request("late"));
+    BOOST_TEST((caller.receive(seconds(5)) == request_end::answered));
+}
+
 // Guards against whole requests that are dropped after a pause of the process: their
 // connections have passed their idle limit by then, and lie unread.
 BOOST_AUTO_TEST_CASE(requests_that_were_sent_during_a_pause_of_the_process_are_answered)
