Check the crash counts that a peer sends

A datagram of a peer with a crash count or a start time that doesn't fit its type was converted unchecked: the result is undefined and differs between processors, and a huge count would block a content that crashed nothing.

The counts now go through the functions that all other messages use. Evidence: the rows added to odd_values/a_peer_message_with_a_number_out_of_range_is_refused failed before with nine errors in one run, and pass after.

--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -417,13 +417,14 @@
 suspects_message decode_suspects(const json& body)
 {
     suspects_message message;
-    message.crashes = body.at("crashes").get<std::map<std::string, int>>();
+    for (const auto& [fingerprint, crashes] : body.at("crashes").items())
+        message.crashes[fingerprint] = checked_count(crashes);
     if (!body.contains("named"))
         return message;
     for (const auto& [fingerprint, crashes] : body.at("named").items())
         for (const json& crash : crashes)
             message.named_crashes[fingerprint].push_back(
-                {{crash.at(0).get<std::string>()}, crash.at(1).get<std::uint64_t>()});
+                {{crash.at(0).get<std::string>()}, decode_unsigned(crash.at(1))});
     return message;
 }
 
--- a/tests/contract/odd_values_test.cpp
+++ b/tests/contract/odd_values_test.cpp
@@ -413,6 +413,16 @@
             decode(with(R"("kind":"holds","token":1,"seq":1,"queue":0,"has":[["a",1,)" +
                         value + "]]")),
             std::runtime_error);
+        BOOST_CHECK_THROW(
+            decode(with(R"("kind":"suspects","crashes":{"a":)" + value + "}")),
+            std::runtime_error);
+        // The start of a run may take all 64 bits.
+        if (value != "18446744073709551615" && value != "9223372036854775807")
+            BOOST_CHECK_THROW(
+                decode(
+                    with(R"("kind":"suspects","crashes":{"a":1},"named":{"a":[["i-1",)" +
+                         value + "]]}")),
+                std::runtime_error);
     }
 }
 
