Keep claims that can't be read instead of removing them as expired

A call with an idempotency key could run twice: a claim that another writer or a damaged value has made unreadable decodes to a claim of the year 1970, so the next removal of expired claims freed its key, and a caller that repeats its call was granted it again. While the claim is there, it answers "in doubt", which is true.

A claim without an attempt is left where it is now. Cost: such an entry stays until an operator removes it.

--- a/policy/call_claim.cpp
+++ b/policy/call_claim.cpp
@@ -147,7 +147,9 @@
     std::vector<store_transaction> removals;
     for (const store_item& item : items)
     {
-        if (wall_clock_now - decode_claim(item.value).claimed_at < retention)
+        const claim_record record = decode_claim(item.value);
+        // A claim that can't be read may stand for a call that has run.
+        if (record.attempt.empty() || wall_clock_now - record.claimed_at < retention)
             continue;
         // Each removal takes two entries: one condition and one change.
         if (removals.empty() ||
--- a/tests/policy/request_policy_test.cpp
+++ b/tests/policy/request_policy_test.cpp
@@ -137,6 +137,17 @@
     BOOST_TEST(removals.front().expected.front().revision.value == 1U);
 }
 
+// Guards against a call that runs twice: a claim that can't be read looked as old as can
+// be, and its key became free at the next removal of expired claims (TWICE).
+BOOST_AUTO_TEST_CASE(an_unreadable_claim_is_never_removed)
+{
+    for (const char* text : {"", "garbage", "[]", R"({"attempt":7})", R"({"done":true})"})
+        BOOST_TEST(expired_claim_removals({{"key", text, {3}, false}},
+                                          std::chrono::hours(1'000'000), seconds(1))
+                       .empty(),
+                   text);
+}
+
 // Requests with one content crash every engine that runs them. Whatever other requests
 // run at the same time, there are at most two crashes, and none of the others is blocked.
 BOOST_AUTO_TEST_CASE(a_crashing_request_is_blocked_after_two_crashes_and_no_other_is)
