--- a/policy/fleet/stream_origin.hpp
+++ b/policy/fleet/stream_origin.hpp
@@ -100,7 +100,7 @@
 std::set<service_id> services_with_resumable_streams(const routing_table& table);
 
 // Returns the versions of these services that this daemon has known within the lifetime
-// of a stream, to be told to its peers.
+// of a stream, which it sends to its peers.
 service_versions versions_to_report(const fleet_view& fleet,
                                     const std::set<service_id>& services);
 
--- a/tests/policy/request_policy_test.cpp
+++ b/tests/policy/request_policy_test.cpp
@@ -11,17 +11,17 @@
 {
 
 // Passes on what one daemon knows of crashes to another.
-void tell_suspects(const crash_history& from, crash_history& to, instant now)
+void send_suspects(const crash_history& from, crash_history& to, instant now)
 {
-    const std::map<std::string, crash_suspect> told = from.suspects;
-    for (const auto& [fingerprint, suspect] : told)
+    const std::map<std::string, crash_suspect> sent = from.suspects;
+    for (const auto& [fingerprint, suspect] : sent)
         merge_peer_crashes(to, fingerprint, suspect.crashes, suspect.named_crashes, now);
 }
 
 void exchange_suspects(crash_history& left, crash_history& right, instant now)
 {
-    tell_suspects(left, right, now);
-    tell_suspects(right, left, now);
+    send_suspects(left, right, now);
+    send_suspects(right, left, now);
 }
 
 } // namespace
