--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -20,7 +20,7 @@
 constexpr int status_head_too_large = 431;
 constexpr int status_unavailable = 503;
 constexpr double milliseconds_per_second = 1000;
-// Part of the idle limit that callers are told, so that a request that is sent within the
+// Part of the idle limit that responses state, so that a request that is sent within the
 // stated time arrives before the limit.
 constexpr int stated_idle_percent = 80;
 // Bytes of later requests that are read while a request is in progress. The rest stays
