--- a/bench/product_daemons.cpp
+++ b/bench/product_daemons.cpp
@@ -18,6 +18,9 @@
 constexpr milliseconds replica_request_interval{500};
 constexpr milliseconds periodic_work_interval{15};
 constexpr milliseconds queue_broadcast_delay{40};
+// All daemons hear of each change of a load after this time. In the product they ask the
+// endpoint's keeper, which takes about as long.
+constexpr milliseconds endpoint_load_interval{5};
 // Network latency between availability zones, of datagrams and of calls.
 constexpr milliseconds network_latency{1};
 // Time from an engine's receipt of a report request until its holder has the report.
@@ -392,7 +395,7 @@
 
 void product_daemons::broadcast_endpoint_load()
 {
-    emulated_.schedule_after(endpoint_load_interval(profile_.daemons, true),
+    emulated_.schedule_after(endpoint_load_interval,
                              [this] { broadcast_endpoint_load(); });
     for (int daemon = 0; daemon < profile_.daemons; ++daemon)
     {
@@ -402,10 +405,12 @@
              std::exchange(changed_endpoints_[static_cast<std::size_t>(daemon)], {}))
         {
             const endpoint_view& sender_view = view(daemon).endpoints.at(endpoint);
-            message.counts[endpoint] = {sender_view.in_flight,
-                                        sender_view.pending_prefill_tokens};
+            message.loads[endpoint] = {sender_view.in_flight,
+                                       sender_view.pending_prefill_tokens,
+                                       sender_view.in_flight_by_adapter,
+                                       {}};
         }
-        if (!message.counts.empty())
+        if (!message.loads.empty())
             broadcast(daemon, message);
     }
 }
@@ -429,12 +434,6 @@
     heartbeat_message message;
     message.sender = daemon_name(daemon);
     message.ready = true;
-    for (const auto& [endpoint, sender_view] : view(daemon).endpoints)
-        if (sender_view.in_flight > 0)
-            message.endpoint_loads[endpoint] = {sender_view.in_flight,
-                                                sender_view.pending_prefill_tokens,
-                                                sender_view.in_flight_by_adapter,
-                                                {}};
     message.load_times = view(daemon).load_times;
     message.load_observations =
         std::exchange(observations_[static_cast<std::size_t>(daemon)], {});
--- a/policy/fleet/endpoint_selection.cpp
+++ b/policy/fleet/endpoint_selection.cpp
@@ -141,7 +141,7 @@
     {
         if (endpoint.record.service != query.service || !accepts_requests(endpoint, now))
             continue;
-        total += total_in_flight(endpoint, now);
+        total += recent_in_flight(endpoint, now);
         ++engines;
     }
     return engines == 0 ? 0 : static_cast<double>(total) / engines;
@@ -262,11 +262,14 @@
         any_has_adapter = true;
         if (resident != nullptr)
             count_supply(supply, fleet, endpoint, *resident, query, busy_threshold, now);
-        if ((resident != nullptr && !is_ready(endpoint, *resident, query.adapter, now)) ||
-            !has_free_slot(fleet, endpoint, query, now))
+        if (resident != nullptr && !is_ready(endpoint, *resident, query.adapter, now))
             continue;
-        if (!has_prefill_capacity(endpoint, query, now))
+        if (!has_free_slot(fleet, endpoint, query, now) ||
+            !has_prefill_capacity(endpoint, query, now))
+        {
+            decision.busy.push_back(id);
             continue;
+        }
         const double cost = expected_cost_ms(fleet, endpoint, query, now);
         const bool needs_permit = permit == permit_status::unknown;
         double& lowest = needs_permit ? best_limited : best;
--- a/policy/fleet/endpoint_selection.hpp
+++ b/policy/fleet/endpoint_selection.hpp
@@ -38,6 +38,8 @@
     // Only this endpoint can serve the request now; it has a request limit, and its
     // permit giver must be asked first.
     std::optional<endpoint_id> needs_permit;
+    // The endpoints that could serve the request if they weren't busy.
+    std::vector<endpoint_id> busy;
     // Set if no endpoint of the service can take a request before this time, because all
     // have request limits and no permits are left, or have asked this daemon to wait.
     std::optional<instant> denied_until;
--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -11,9 +11,10 @@
 namespace
 {
 
-// A peer's load is ignored if it was reported longer ago than this. Peers report it at
-// least once a second.
+// A load is ignored if it was reported longer ago than this. Peers report theirs at least
+// once a second.
 constexpr milliseconds peer_load_lifetime{1500};
+constexpr milliseconds recent_statement_lifetime{5000};
 // A peer is not listed for callers if no heartbeat from it arrived for this long, which
 // means that seven were lost.
 constexpr milliseconds peer_timeout{1500};
@@ -35,12 +36,6 @@
 // Weight of a new sample in the moving averages.
 constexpr double sample_weight = 0.2;
 constexpr double failure_share_half_life_s = 2.0;
-// The prefill of one prompt takes much longer.
-constexpr milliseconds min_endpoint_load_interval{5};
-constexpr microseconds endpoint_load_time_per_member{600};
-constexpr int members_per_load_report = 32;
-// Loads are reported at least once a second, so that none expires.
-constexpr int max_heartbeats_per_load_report = 5;
 // The platform's limit on addresses in one directory response.
 constexpr std::size_t max_directory_addresses = 64;
 
@@ -49,40 +44,103 @@
     return now - load.received_at < peer_load_lifetime;
 }
 
+int requests_for(const std::map<adapter_id, int>& counts, const adapter_id& adapter)
+{
+    const auto found = counts.find(adapter);
+    return found == counts.end() ? 0 : found->second;
+}
+
+// Returns the requests and prompt tokens of all peers but one. While the keeper changes,
+// both the reports of peers and the last statement of the former keeper may be fresh; the
+// higher count is used.
+peer_load load_of_others(const endpoint_view& endpoint, const daemon_id& without,
+                         instant now)
+{
+    peer_load load;
+    for (const auto& [peer, reported] : endpoint.peers)
+        if (peer != without && is_fresh(reported, now))
+        {
+            load.in_flight += reported.in_flight;
+            load.pending_prefill_tokens += reported.pending_prefill_tokens;
+        }
+    if (without.empty() && endpoint.others && is_fresh(*endpoint.others, now))
+    {
+        load.in_flight = std::max(load.in_flight, endpoint.others->in_flight);
+        load.pending_prefill_tokens = std::max(load.pending_prefill_tokens,
+                                               endpoint.others->pending_prefill_tokens);
+    }
+    load.received_at = now;
+    return load;
+}
+
 } // namespace
 
 int total_in_flight(const endpoint_view& endpoint, instant now)
 {
-    int total = endpoint.in_flight;
-    for (const auto& [peer, load] : endpoint.peers)
-        if (is_fresh(load, now))
-            total += load.in_flight;
-    return total;
+    const peer_load others = load_of_others(endpoint, daemon_id{}, now);
+    return endpoint.in_flight + endpoint.reserved_requests + others.in_flight;
+}
+
+int recent_in_flight(const endpoint_view& endpoint, instant now)
+{
+    const int total = total_in_flight(endpoint, now);
+    const bool is_recent =
+        endpoint.others && now - endpoint.others->received_at < recent_statement_lifetime;
+    return is_recent ? std::max(total, endpoint.in_flight + endpoint.reserved_requests +
+                                           endpoint.others->in_flight)
+                     : total;
 }
 
 int total_pending_prefill_tokens(const endpoint_view& endpoint, instant now)
 {
-    int total = endpoint.pending_prefill_tokens;
-    for (const auto& [peer, load] : endpoint.peers)
-        if (is_fresh(load, now))
-            total += load.pending_prefill_tokens;
-    return total;
+    const peer_load others = load_of_others(endpoint, daemon_id{}, now);
+    return endpoint.pending_prefill_tokens + endpoint.reserved_prefill_tokens +
+           others.pending_prefill_tokens;
 }
 
 int adapter_requests_in_flight(const endpoint_view& endpoint, const adapter_id& adapter,
                                instant now)
 {
-    int total = 0;
-    const auto own = endpoint.in_flight_by_adapter.find(adapter);
-    if (own != endpoint.in_flight_by_adapter.end())
-        total += own->second;
+    int reported = 0;
     for (const auto& [peer, load] : endpoint.peers)
-    {
-        const auto found = load.by_adapter.find(adapter);
-        if (found != load.by_adapter.end() && is_fresh(load, now))
-            total += found->second;
-    }
-    return total;
+        if (is_fresh(load, now))
+            reported += requests_for(load.by_adapter, adapter);
+    const int stated = endpoint.others && is_fresh(*endpoint.others, now)
+                           ? requests_for(endpoint.others->by_adapter, adapter)
+                           : 0;
+    return requests_for(endpoint.in_flight_by_adapter, adapter) +
+           std::max(reported, stated);
+}
+
+peer_load load_without(const endpoint_view& endpoint, const daemon_id& asker, instant now)
+{
+    peer_load load = load_of_others(endpoint, asker, now);
+    load.in_flight += endpoint.in_flight + endpoint.reserved_requests;
+    load.pending_prefill_tokens +=
+        endpoint.pending_prefill_tokens + endpoint.reserved_prefill_tokens;
+    const auto reported = endpoint.peers.find(asker);
+    if (reported == endpoint.peers.end())
+        return load;
+    for (const auto& [adapter, requests] : reported->second.by_adapter)
+        load.by_adapter[adapter] =
+            adapter_requests_in_flight(endpoint, adapter, now) - requests;
+    return load;
+}
+
+void record_peer_load(endpoint_view& endpoint, const daemon_id& peer,
+                      const peer_load& load)
+{
+    const auto known = endpoint.peers.find(peer);
+    if (known != endpoint.peers.end() && load.sequence < known->second.sequence &&
+        is_fresh(known->second, load.received_at))
+        return;
+    endpoint.peers[peer] = load;
+}
+
+void remove_expired_loads(endpoint_view& endpoint, instant now)
+{
+    std::erase_if(endpoint.peers,
+                  [now](const auto& entry) { return !is_fresh(entry.second, now); });
 }
 
 bool is_gone(const endpoint_view& endpoint, instant now)
@@ -228,22 +286,30 @@
     return found->second.version;
 }
 
-daemon_id permit_giver(const fleet_view& fleet, const endpoint_id& endpoint)
+daemon_id endpoint_keeper(const fleet_view& fleet, const endpoint_id& endpoint)
 {
-    daemon_id giver;
+    const auto is_available = [](const member_view& member)
+    { return member.leased && !member.leaving; };
+    const auto view = fleet.endpoints.find(endpoint);
+    const auto holder = view == fleet.endpoints.end()
+                            ? fleet.members.end()
+                            : fleet.members.find(view->second.holder);
+    if (holder != fleet.members.end() && is_available(holder->second))
+        return holder->first;
+    daemon_id keeper;
     std::uint64_t highest = 0;
     for (const auto& [id, member] : fleet.members)
     {
-        if (!member.leased || member.leaving)
+        if (!is_available(member))
             continue;
         const std::uint64_t weight = rendezvous_weight(endpoint.value, id.value);
-        if (giver.empty() || weight > highest)
+        if (keeper.empty() || weight > highest)
         {
-            giver = id;
+            keeper = id;
             highest = weight;
         }
     }
-    return giver;
+    return keeper;
 }
 
 bool is_first_member(const fleet_view& fleet)
@@ -262,6 +328,15 @@
     return earlier < count;
 }
 
+bool is_among_first_of_zone(const fleet_view& fleet, int count)
+{
+    const auto earlier =
+        std::count_if(fleet.members.begin(), fleet.members.lower_bound(fleet.self),
+                      [&](const auto& entry)
+                      { return entry.second.leased && entry.second.zone == fleet.zone; });
+    return earlier < count;
+}
+
 daemon_id first_member_by_hash(const fleet_view& fleet, const std::string& key)
 {
     daemon_id first = fleet.self;
@@ -280,24 +355,11 @@
     return std::max(1, live);
 }
 
-milliseconds endpoint_load_interval(int members, bool at_engine)
-{
-    if (!at_engine)
-        return min_endpoint_load_interval;
-    return std::max(min_endpoint_load_interval,
-                    std::chrono::duration_cast<milliseconds>(
-                        members * endpoint_load_time_per_member));
-}
-
-int heartbeats_per_load_report(int members)
-{
-    return std::clamp((members + members_per_load_report - 1) / members_per_load_report,
-                      1, max_heartbeats_per_load_report);
-}
-
 bool is_usable_by_callers(const member_view& member, instant now)
 {
-    return member.ready && !member.leaving && now - member.last_message_at < peer_timeout;
+    const bool is_up = now - member.last_message_at < peer_timeout ||
+                       (member.leased && !member.sends_each_heartbeat);
+    return member.ready && !member.leaving && is_up;
 }
 
 std::vector<network_address> caller_addresses(const fleet_view& fleet, instant now)
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -27,12 +27,16 @@
     network_address peer_address;
     std::string zone;
     incarnation_id incarnation;
+    // The version of the messages that the member understands (zone_relay.hpp).
+    int message_version = 1;
     bool ready = false;
     bool leaving = false;
     // The member reaches no endpoint, as of its last heartbeat.
     bool cut_off = false;
     // When the last heartbeat from the member arrived.
     instant last_message_at{};
+    // The member sends this daemon each of its heartbeats, as of its last one.
+    bool sends_each_heartbeat = false;
     // The store has the member's entry, so its lease is in force.
     bool leased = false;
     // This daemon has seen the member's entry in the store at some time.
@@ -47,8 +51,6 @@
     // The versions that the member has known within the lifetime of a stream, as of its
     // last heartbeat; none if it runs an earlier release, which doesn't state them.
     std::optional<service_versions> software_versions;
-    // Endpoints at which this daemon knows a load of the member.
-    std::set<endpoint_id> loaded_endpoints;
 };
 
 // An adapter that is loaded on an engine or is being loaded.
@@ -70,7 +72,9 @@
     int concurrent_loads = 0;
 };
 
-// The requests that one peer has in flight at an endpoint, as reported by the peer.
+// The requests that peers have in flight at an endpoint: those of one peer, as reported
+// by that peer, or those of all daemons but this one, as reported by the endpoint's
+// keeper.
 struct peer_load
 {
     int in_flight = 0;
@@ -78,6 +82,8 @@
     int pending_prefill_tokens = 0;
     std::map<adapter_id, int> by_adapter;
     instant received_at{};
+    // Increases with each report of the peer.
+    std::uint64_t sequence = 0;
 };
 
 // What a daemon knows of an endpoint that fails if it has to reject too many requests.
@@ -124,12 +130,19 @@
     // When the holder last reported it, or this daemon restarted the count at 0.
     instant queue_reported_at{};
 
-    // The requests that this daemon, and each of its peers, has in flight at the
-    // endpoint.
+    // The requests that this daemon has in flight at the endpoint.
     int in_flight = 0;
     int pending_prefill_tokens = 0;
     std::map<adapter_id, int> in_flight_by_adapter;
+    // Requests of this daemon that the endpoint's keeper counts and that aren't sent yet,
+    // with their prompt tokens.
+    int reserved_requests = 0;
+    int reserved_prefill_tokens = 0;
+    // The loads that peers reported to this daemon as the endpoint's keeper.
     std::map<daemon_id, peer_load> peers;
+    // The load of all other daemons, as the endpoint's keeper last stated it; none if it
+    // never did.
+    std::optional<peer_load> others;
 
     // Moving average of the time to the first byte of a response, and when it was last
     // updated.
@@ -198,9 +211,13 @@
                                               instant sent, bool complete);
 
 // Returns the requests in flight at the endpoint, from this daemon and, as far as known,
-// from all others.
+// from all others. Reserved ones count.
 int total_in_flight(const endpoint_view& endpoint, instant now);
 
+// The same with a statement of the keeper that may be some seconds old, for decisions
+// about averages.
+int recent_in_flight(const endpoint_view& endpoint, instant now);
+
 // Returns the prompt tokens that the endpoint has yet to process, over the requests of
 // all daemons.
 int total_pending_prefill_tokens(const endpoint_view& endpoint, instant now);
@@ -209,6 +226,14 @@
 int adapter_requests_in_flight(const endpoint_view& endpoint, const adapter_id& adapter,
                                instant now);
 
+// Records a load that a peer has reported, unless a later report has arrived before.
+void record_peer_load(endpoint_view& endpoint, const daemon_id& peer,
+                      const peer_load& load);
+
+// Forgets the loads of peers that haven't been reported for so long that they don't count
+// any more.
+void remove_expired_loads(endpoint_view& endpoint, instant now);
+
 // Returns true if the endpoint counts as gone by now.
 bool is_gone(const endpoint_view& endpoint, instant now);
 
@@ -258,10 +283,16 @@
 std::optional<adapter_version> required_version(const fleet_view& fleet,
                                                 const adapter_id& adapter);
 
-// Returns the daemon that gives the permits for an endpoint with a request limit: of
-// those with a lease in the store that aren't leaving, the first by rendezvous hashing.
-// Empty if there is none.
-daemon_id permit_giver(const fleet_view& fleet, const endpoint_id& endpoint);
+// Returns the endpoint's keeper: the daemon that counts the requests of all daemons
+// there, and gives the permits if the endpoint has a request limit. It is the holder, or
+// of the daemons with a lease in the store that aren't leaving the first by rendezvous
+// hashing. Empty if there is none.
+daemon_id endpoint_keeper(const fleet_view& fleet, const endpoint_id& endpoint);
+
+// Returns the load of all daemons but `asker` at an endpoint, as far as its keeper knows,
+// with the counts of those adapters for which the asker has requests there.
+peer_load load_without(const endpoint_view& endpoint, const daemon_id& asker,
+                       instant now);
 
 // Returns true if this daemon is the first one with a lease in the store, which does what
 // only one daemon needs to do.
@@ -271,6 +302,9 @@
 // one, whether or not it has a lease itself.
 bool is_among_first_members(const fleet_view& fleet, int count);
 
+// The same among the daemons of this one's availability zone.
+bool is_among_first_of_zone(const fleet_view& fleet, int count);
+
 // Returns the first daemon by rendezvous hashing of the key, of those with a lease in the
 // store and this one.
 daemon_id first_member_by_hash(const fleet_view& fleet, const std::string& key);
@@ -278,18 +312,9 @@
 // Returns the number of daemons with a lease in the store, including this one.
 int live_member_count(const fleet_view& fleet);
 
-// Returns for how long a daemon collects changes of its load at endpoints of one kind
-// before it sends them to its peers. For engines the time grows with the number of
-// daemons, since every daemon receives the changes of all others. A plain service has few
-// slots, which are taken for a short time; its changes are sent at once.
-milliseconds endpoint_load_interval(int members, bool at_engine);
-
-// Returns the number of heartbeats of which one contains the sender's endpoint loads. A
-// heartbeat with loads is several times as long as one without.
-int heartbeats_per_load_report(int members);
-
 // Returns true if callers may be sent to the member: it is ready and up and isn't
-// leaving.
+// leaving. A member that sends this daemon each of its heartbeats is up while they
+// arrive, any other one while it has a lease.
 bool is_usable_by_callers(const member_view& member, instant now);
 
 // Returns the addresses of the daemons that callers may use, including this one if it is
--- a/policy/fleet/order_permission.cpp
+++ b/policy/fleet/order_permission.cpp
@@ -86,14 +86,17 @@
                   const holder_record* holder, std::optional<instant> lease_ended_at,
                   instant unheld_since, const takeover_timing& timing, instant now)
 {
-    const milliseconds rank_delay = timing.delay_per_rank * rank_of_self(fleet, endpoint);
-    if (holder == nullptr)
-        return now - unheld_since >= rank_delay;
     // An earlier incarnation of this daemon was the holder. It cannot still be running,
     // because only one process can listen on the daemon's address.
-    if (holder->daemon == fleet.self)
+    if (holder != nullptr && holder->daemon == fleet.self)
         return true;
-    return lease_ended_at && now - *lease_ended_at >= timing.restart_grace + rank_delay;
+    if (holder != nullptr && !lease_ended_at)
+        return false;
+    // The rank takes a pass over all members, so it is computed only when it matters.
+    const milliseconds rank_delay = timing.delay_per_rank * rank_of_self(fleet, endpoint);
+    if (holder == nullptr)
+        return now - unheld_since >= rank_delay;
+    return now - *lease_ended_at >= timing.restart_grace + rank_delay;
 }
 
 std::optional<instant> outage_confirmed_until(const fleet_view& fleet, instant now)
--- a/policy/fleet/watch_call.cpp
+++ b/policy/fleet/watch_call.cpp
@@ -19,6 +19,9 @@
 constexpr milliseconds min_call_age{1000};
 constexpr int max_doublings = 3;
 
+// Two messages of both peers that watch may be lost.
+constexpr milliseconds max_following_gap = 3 * changes_interval;
+
 bool is_behind_peers(const watch_call& watch, instant now)
 {
     return watch.is_loaded && watch.peer_change > watch.known_position &&
@@ -40,6 +43,25 @@
     contact.last_response = now;
 }
 
+bool may_follow(const watch_call& watch, instant now)
+{
+    return watch.is_loaded && !watch.is_in_older_era &&
+           now - watch.followed_at < max_following_gap;
+}
+
+bool can_follow(const watch_call& watch, store_position after, store_position known,
+                store_era era)
+{
+    return watch.is_loaded && !watch.is_in_older_era && known.era == era &&
+           after <= watch.known_position;
+}
+
+void follow(watch_call& watch, store_position known, instant now)
+{
+    watch.known_position = std::max(watch.known_position, known);
+    watch.followed_at = now;
+}
+
 void record_peer_change(watch_call& watch, store_position position, instant now)
 {
     if (position <= watch.peer_change)
--- a/policy/fleet/watch_call.hpp
+++ b/policy/fleet/watch_call.hpp
@@ -44,8 +44,18 @@
     instant peer_change_heard_at{};
     // Calls sent again because peers know more, since the last response.
     int repeated_calls = 0;
+    // When a peer that watches last sent the changes that followed those known.
+    instant followed_at{};
+    // When the store last responded to a call of this watch.
+    instant responded_at{};
 };
 
+// The first daemons of each availability zone by their ids watch the store and send the
+// changes to the others, so the calls of a fleet grow with its zones. The others watch
+// themselves as soon as they miss a change or hear nothing.
+constexpr int watching_daemons_per_zone = 2;
+constexpr milliseconds changes_interval{400};
+
 enum class repeat_reason
 {
     // The pending call goes on waiting.
@@ -61,6 +71,18 @@
 constexpr int leading_watches = 2;
 constexpr milliseconds leading_watch_wait{800};
 
+// Returns true if a peer sends all changes to this daemon, which needs no call then.
+bool may_follow(const watch_call& watch, instant now);
+
+// Returns true if no change is missing before those that a peer sent: all after the
+// position `after`, up to the position `known`. Changes of an era that the store hasn't
+// stated to this daemon, whose own one is `era`, can't be followed.
+bool can_follow(const watch_call& watch, store_position after, store_position known,
+                store_era era);
+
+// Records that all changes up to the position `known` were received from a peer.
+void follow(watch_call& watch, store_position known, instant now);
+
 // Records the newest change that a peer knows.
 void record_peer_change(watch_call& watch, store_position position, instant now);
 
--- a/servers/gateway/engine_controller.cpp
+++ b/servers/gateway/engine_controller.cpp
@@ -3,6 +3,7 @@
 #include "servers/gateway/load_observations.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace pollenhaven
 {
@@ -17,7 +18,7 @@
 constexpr milliseconds report_timeout{300};
 // Changes are collected for this long before they are sent to the peers.
 constexpr milliseconds inventory_broadcast_delay{4};
-constexpr milliseconds queue_broadcast_delay{40};
+constexpr milliseconds queue_report_delay{40};
 
 order_outcome outcome_of(const http_result& result)
 {
@@ -64,8 +65,10 @@
 } // namespace
 
 engine_controller::engine_controller(gateway_context& context,
-                                     broadcast_function broadcast)
-    : context_(context), broadcast_(std::move(broadcast))
+                                     inventory_function send_inventory,
+                                     queue_function send_queue)
+    : context_(context), send_inventory_(std::move(send_inventory)),
+      send_queue_(std::move(send_queue))
 {
 }
 
@@ -98,8 +101,9 @@
     load.waiting[request.sender] = {request.waiting,
                                     context_.loop.now() + request.ready_within};
     add_pending_load(found->second.state, request.adapter, load, context_.loop.now());
+    found->second.load_requesters.insert(request.sender);
     send_next_action(request.endpoint);
-    schedule_queue_broadcast(request.endpoint);
+    schedule_queue_report(request.endpoint);
 }
 
 void engine_controller::record_adapter_usage(const endpoint_id& endpoint,
@@ -276,35 +280,32 @@
                                  [this, id] { broadcast_inventory(id); });
 }
 
-void engine_controller::schedule_queue_broadcast(const endpoint_id& id)
+void engine_controller::schedule_queue_report(const endpoint_id& id)
 {
     held_engine& engine = engines_.at(id);
-    if (engine.queue_broadcast_scheduled)
+    if (std::exchange(engine.queue_report_scheduled, true))
         return;
-    engine.queue_broadcast_scheduled = true;
-    context_.loop.schedule_after(
-        queue_broadcast_delay,
-        [this, id]
-        {
-            const auto found = engines_.find(id);
-            const order_permission* const permission = membership_->permission_for(id);
-            if (found == engines_.end() || permission == nullptr)
-                return;
-            found->second.queue_broadcast_scheduled = false;
-            broadcast_(load_queue_message{
-                context_.settings.id, id, permission->token,
-                static_cast<int>(found->second.state.pending_loads.size())});
-        });
+    context_.loop.schedule_after(queue_report_delay, [this, id] { report_queue(id); });
+}
+
+void engine_controller::report_queue(const endpoint_id& id)
+{
+    const auto found = engines_.find(id);
+    const order_permission* const permission = membership_->permission_for(id);
+    if (found == engines_.end() || permission == nullptr)
+        return;
+    held_engine& engine = found->second;
+    engine.queue_report_scheduled = false;
+    const std::set<daemon_id> requesters = std::exchange(engine.load_requesters, {});
+    send_queue_({requesters.begin(), requesters.end()},
+                {context_.settings.id, id, permission->token,
+                 static_cast<int>(engine.state.pending_loads.size())});
 }
 
 engine_timing engine_controller::current_timing() const
 {
     engine_timing timing = context_.settings.load_timing;
     timing.load_times = context_.fleet.load_times;
-    const int reported_every =
-        heartbeats_per_load_report(live_member_count(context_.fleet));
-    timing.recent_use_window =
-        std::max(timing.recent_use_window, 2 * reported_every * heartbeat_interval);
     return timing;
 }
 
@@ -324,10 +325,16 @@
     message.token = permission->token;
     message.sequence = ++engine.inventory_sequence;
     message.queued_loads = static_cast<int>(engine.state.pending_loads.size());
+    const auto view = context_.fleet.endpoints.find(id);
+    if (view != context_.fleet.endpoints.end())
+    {
+        message.in_flight = total_in_flight(view->second, now);
+        message.pending_prefill_tokens = total_pending_prefill_tokens(view->second, now);
+    }
     for (const auto& [adapter, slot] : engine.state.slots)
         if (slot.state != slot_state::unloading)
             message.adapters.push_back(report_of(adapter, slot, now));
-    broadcast_(message);
+    send_inventory_(message);
 }
 
 } // namespace pollenhaven
--- a/servers/gateway/engine_controller.hpp
+++ b/servers/gateway/engine_controller.hpp
@@ -9,6 +9,8 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
+#include <vector>
 
 namespace pollenhaven
 {
@@ -18,9 +20,14 @@
 class engine_controller
 {
 public:
-    using broadcast_function = std::function<void(const fleet_message&)>;
+    using inventory_function = std::function<void(const inventory_message&)>;
+    using queue_function =
+        std::function<void(const std::vector<daemon_id>&, const load_queue_message&)>;
 
-    engine_controller(gateway_context& context, broadcast_function broadcast);
+    // `send_inventory` gets each inventory for all peers, and `send_queue` a queue length
+    // with the peers that wait for it; both apply it to this daemon's own view too.
+    engine_controller(gateway_context& context, inventory_function send_inventory,
+                      queue_function send_queue);
 
     // Sets the source of permissions. Must be called before any other function.
     void attach(const fleet_membership& membership) { membership_ = &membership; }
@@ -42,7 +49,9 @@
         // Sequence number of the last inventory that was sent.
         std::uint64_t inventory_sequence = 0;
         bool inventory_broadcast_scheduled = false;
-        bool queue_broadcast_scheduled = false;
+        bool queue_report_scheduled = false;
+        // The daemons that requested a load since the last report of the queue.
+        std::set<daemon_id> load_requesters;
         // The time at which a load completes and send_next_action() is scheduled to run.
         instant next_wakeup{};
     };
@@ -57,13 +66,16 @@
     void schedule_load_completion(const endpoint_id& id, held_engine& engine);
     void schedule_inventory_broadcast(const endpoint_id& id);
     void broadcast_inventory(const endpoint_id& id);
-    void schedule_queue_broadcast(const endpoint_id& id);
+    // Reports the number of queued loads to those that requested one.
+    void schedule_queue_report(const endpoint_id& id);
+    void report_queue(const endpoint_id& id);
     // The configured timing with the load times learned so far.
     engine_timing current_timing() const;
     void init_engine(held_engine& engine, const endpoint_view& view);
 
     gateway_context& context_;
-    broadcast_function broadcast_;
+    inventory_function send_inventory_;
+    queue_function send_queue_;
     const fleet_membership* membership_ = nullptr;
     std::map<endpoint_id, held_engine> engines_;
 };
--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -1,6 +1,7 @@
 #include "servers/gateway/fleet_membership.hpp"
 
 #include "core/json_text.hpp"
+#include "policy/fleet/zone_relay.hpp"
 
 namespace pollenhaven
 {
@@ -27,6 +28,16 @@
 // Minimum time between two claims of the same engine, for example if the first one was
 // not answered.
 constexpr milliseconds claim_interval{2000};
+// When a fleet starts, each daemon writes an entry; without a pause each of them would
+// end a call of every daemon.
+constexpr milliseconds member_watch_pause{200};
+
+watch_timing member_timing()
+{
+    watch_timing timing;
+    timing.pause = member_watch_pause;
+    return timing;
+}
 
 std::string encode_holder(const gateway_context& context, const daemon_id& previous)
 {
@@ -43,6 +54,21 @@
     return entry[field].get<std::string>();
 }
 
+// Returns a whole number of an entry; none if the field is missing or not one.
+std::optional<int> integer_field(const nlohmann::json& entry, const char* field)
+{
+    if (!entry.is_object() || !entry.contains(field))
+        return std::nullopt;
+    try
+    {
+        return checked_count(entry[field]);
+    }
+    catch (const std::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
 std::optional<holder_record> decode_holder(const store_item& item)
 {
     const nlohmann::json entry = parse_json_or_null(item.value);
@@ -77,7 +103,7 @@
 fleet_membership::fleet_membership(
     gateway_context& context, std::function<void(const endpoint_id&)> permission_changed)
     : context_(context), permission_changed_(std::move(permission_changed)),
-      client_(context), watch_(context, daemon_prefix, watch_timing{},
+      client_(context), watch_(context, daemon_prefix, member_timing(),
                                [this](const store_item& item) { on_item(item); }),
       started_(context.loop.now())
 {
@@ -234,7 +260,8 @@
     const nlohmann::json value{{"callers", context_.settings.caller_address.value},
                                {"peers", context_.settings.peer_address.value},
                                {"zone", context_.settings.zone},
-                               {"incarnation", context_.incarnation.value}};
+                               {"incarnation", context_.incarnation.value},
+                               {"messages", message_version}};
     store_transaction transaction;
     transaction.writes.push_back(
         {member_prefix + context_.settings.id.value, write_json(value), lease_});
@@ -407,6 +434,8 @@
     member.caller_address = callers;
     member.peer_address = peers;
     member.zone = string_field(entry, "zone");
+    // Daemons of earlier releases state none.
+    member.message_version = integer_field(entry, "messages").value_or(1);
     member.leased = true;
     member.known_from_store = true;
     member.lease_ended_at.reset();
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -49,6 +49,13 @@
     return checked_number(value, 0, static_cast<double>(max_duration.count()));
 }
 
+// Decodes a number of requests or tokens at an endpoint.
+int decode_load_count(const json& value)
+{
+    constexpr int max_load_count = 1 << 30;
+    return static_cast<int>(checked_integer(value, 0, max_load_count));
+}
+
 json encode_counts(const std::map<adapter_id, int>& counts)
 {
     json object = json::object();
@@ -61,12 +68,13 @@
 {
     std::map<adapter_id, int> counts;
     for (const auto& [name, count] : object.items())
-        counts[{name}] = decode_integer(count);
+        counts[{name}] = decode_load_count(count);
     return counts;
 }
 
 using endpoint_loads = std::map<endpoint_id, endpoint_load>;
 
+// Daemons of earlier releases read the first two numbers.
 json encode_endpoint_loads(const endpoint_loads& loads)
 {
     json object = json::object();
@@ -80,9 +88,17 @@
 endpoint_loads decode_endpoint_loads(const json& object)
 {
     endpoint_loads loads;
+    constexpr std::size_t fields_with_adapters = 4;
     for (const auto& [endpoint, load] : object.items())
-        loads[{endpoint}] = {decode_integer(load.at(0)), decode_integer(load.at(1)),
-                             decode_counts(load.at(2)), decode_counts(load.at(3))};
+    {
+        endpoint_load& decoded = loads[{endpoint}];
+        decoded.in_flight = decode_load_count(load.at(0));
+        decoded.pending_prefill_tokens = decode_load_count(load.at(1));
+        if (load.size() < fields_with_adapters)
+            continue;
+        decoded.in_flight_by_adapter = decode_counts(load.at(2));
+        decoded.started_by_adapter = decode_counts(load.at(3));
+    }
     return loads;
 }
 
@@ -124,11 +140,24 @@
 
 json encode_body(const endpoint_load_message& message)
 {
-    json counts = json::object();
-    for (const auto& [endpoint, load] : message.counts)
-        counts[endpoint.value] =
-            json::array({load.in_flight, load.pending_prefill_tokens});
-    return {{"kind", "use"}, {"from", message.sender.value}, {"counts", counts}};
+    json body{{"kind", "use"},
+              {"from", message.sender.value},
+              {"counts", encode_endpoint_loads(message.loads)},
+              {"seq", message.sequence}};
+    for (const auto& [endpoint, question] : message.questions)
+        body["asks"][endpoint.value] =
+            json::array({question.number.value, question.is_waiting});
+    return body;
+}
+
+json encode_body(const stated_load_message& message)
+{
+    json loads = json::object();
+    for (const auto& [endpoint, load] : message.loads)
+        loads[endpoint.value] =
+            json::array({load.number.value, load.in_flight, load.pending_prefill_tokens,
+                         encode_counts(load.in_flight_by_adapter)});
+    return {{"kind", "others"}, {"from", message.sender.value}, {"loads", loads}};
 }
 
 json encode_body(const heartbeat_message& message)
@@ -139,13 +168,15 @@
               {"ready", message.ready},
               {"leaving", message.leaving},
               {"silence", message.store_silence.count()},
-              {"use", encode_endpoint_loads(message.endpoint_loads)},
+              // Required by daemons of earlier releases.
+              {"use", json::object()},
+              {"partial", true},
               {"loads", encode_observations(message.load_observations)},
               {"store",
                {message.load_times.is_learned, message.load_times.full_speed_ms,
                 message.load_times.loads_at_full_speed}}};
-    if (!message.has_endpoint_loads)
-        body["partial"] = true;
+    if (!message.is_regular)
+        body["regular"] = false;
     if (message.cut_off)
         body["cut_off"] = true;
     if (message.operator_change != store_position{})
@@ -179,13 +210,18 @@
         }
         adapters.push_back(std::move(encoded));
     }
-    return {{"kind", "holds"},
-            {"from", message.sender.value},
-            {"at", message.endpoint.value},
-            {"token", message.token},
-            {"seq", message.sequence},
-            {"queue", message.queued_loads},
-            {"has", adapters}};
+    json body{{"kind", "holds"},
+              {"from", message.sender.value},
+              {"at", message.endpoint.value},
+              {"token", message.token},
+              {"seq", message.sequence},
+              {"queue", message.queued_loads},
+              {"has", adapters}};
+    if (message.is_to_relay)
+        body["relay"] = true;
+    if (message.in_flight)
+        body["load"] = {*message.in_flight, message.pending_prefill_tokens};
+    return body;
 }
 
 json encode_body(const load_queue_message& message)
@@ -314,6 +350,31 @@
             {"bears", message.bearable_rejections.per_second}};
 }
 
+json encode_position(const store_position& position)
+{
+    return json::array({position.era.value, position.revision.value});
+}
+
+store_position decode_position(const json& value)
+{
+    return {{decode_unsigned(value.at(0))}, {decode_unsigned(value.at(1))}};
+}
+
+json encode_body(const store_changes_message& message)
+{
+    json watches = json::array();
+    for (const watch_news& news : message.watches)
+    {
+        json items = json::array();
+        for (const store_item& item : news.items)
+            items.push_back({item.key, encode_position(position_of(item)), item.deleted,
+                             json::binary({item.value.begin(), item.value.end()})});
+        watches.push_back({news.prefix, encode_position(news.after),
+                           encode_position(news.position), items});
+    }
+    return {{"kind", "changes"}, {"from", message.sender.value}, {"watches", watches}};
+}
+
 request_rate decode_rate(const json& value)
 {
     return {checked_number(value, 0, std::numeric_limits<double>::max())};
@@ -331,10 +392,10 @@
     message.incarnation = {body.at("start").get<std::string>()};
     message.ready = body.at("ready").get<bool>();
     message.leaving = body.at("leaving").get<bool>();
+    message.is_regular = body.value("regular", true);
     message.cut_off = body.value("cut_off", false);
     message.store_silence = decode_duration(body.at("silence"));
     message.endpoint_loads = decode_endpoint_loads(body.at("use"));
-    message.has_endpoint_loads = !body.contains("partial");
     message.operator_change = decode_position(body, "era", "rev");
     message.era = {optional_unsigned(body, "seen_era")};
     message.era_age =
@@ -361,9 +422,23 @@
 endpoint_load_message decode_endpoint_load(const json& body)
 {
     endpoint_load_message message;
-    for (const auto& [endpoint, load] : body.at("counts").items())
-        message.counts[{endpoint}] = {decode_integer(load.at(0)),
-                                      decode_integer(load.at(1))};
+    message.loads = decode_endpoint_loads(body.at("counts"));
+    message.sequence = optional_unsigned(body, "seq");
+    if (body.contains("asks"))
+        for (const auto& [endpoint, question] : body.at("asks").items())
+            message.questions[{endpoint}] = {{decode_unsigned(question.at(0))},
+                                             question.at(1).get<bool>()};
+    return message;
+}
+
+stated_load_message decode_stated_load(const json& body)
+{
+    stated_load_message message;
+    for (const auto& [endpoint, load] : body.at("loads").items())
+        message.loads[{endpoint}] = {{decode_unsigned(load.at(0))},
+                                     decode_load_count(load.at(1)),
+                                     decode_load_count(load.at(2)),
+                                     decode_counts(load.at(3))};
     return message;
 }
 
@@ -388,6 +463,12 @@
         }
         message.adapters.push_back(adapter);
     }
+    message.is_to_relay = body.value("relay", false);
+    if (body.contains("load"))
+    {
+        message.in_flight = decode_load_count(body.at("load").at(0));
+        message.pending_prefill_tokens = decode_load_count(body.at("load").at(1));
+    }
     return message;
 }
 
@@ -508,6 +589,31 @@
     return message;
 }
 
+watch_news decode_watch_news(const json& body)
+{
+    watch_news news{body.at(0).get<std::string>(), decode_position(body.at(1)),
+                    decode_position(body.at(2))};
+    for (const json& entry : body.at(3))
+    {
+        const store_position position = decode_position(entry.at(1));
+        const json::binary_t& value = entry.at(3).get_binary();
+        news.items.push_back({entry.at(0).get<std::string>(),
+                              {value.begin(), value.end()},
+                              position.revision,
+                              entry.at(2).get<bool>(),
+                              position.era});
+    }
+    return news;
+}
+
+store_changes_message decode_store_changes(const json& body)
+{
+    store_changes_message message;
+    for (const json& watch : body.at("watches"))
+        message.watches.push_back(decode_watch_news(watch));
+    return message;
+}
+
 fleet_message decode_body(const json& body)
 {
     const std::string kind = body.at("kind").get<std::string>();
@@ -537,6 +643,10 @@
         return decode_permit(body);
     if (kind == "room")
         return decode_endpoint_room(body);
+    if (kind == "changes")
+        return decode_store_changes(body);
+    if (kind == "others")
+        return decode_stated_load(body);
     throw std::runtime_error("the message kind '" + kind + "' is unknown");
 }
 
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -5,9 +5,11 @@
 #include "core/records/endpoint_record.hpp"
 #include "policy/crash_history.hpp"
 #include "policy/fleet/fleet_view.hpp"
+#include "policy/fleet/keeper_questions.hpp"
 #include "policy/fleet/load_time_model.hpp"
 #include "policy/fleet/prompt_part_crashes.hpp"
 #include "policy/fleet/request_limit.hpp"
+#include "servers/gateway/store/watch_news.hpp"
 
 #include <map>
 #include <optional>
@@ -26,12 +28,11 @@
     int in_flight = 0;
     int pending_prefill_tokens = 0;
     std::map<adapter_id, int> in_flight_by_adapter;
-    // Requests started since the daemon's last heartbeat.
+    // Requests started since the daemon's last report about the endpoint.
     std::map<adapter_id, int> started_by_adapter;
 };
 
-// Interval of the heartbeats, which carry liveness and endpoint load. The data of peers
-// that routing decisions use can be this old.
+// Interval of the heartbeats.
 constexpr milliseconds heartbeat_interval{200};
 
 // The periodic status message of a daemon.
@@ -41,6 +42,9 @@
     incarnation_id incarnation;
     bool ready = false;
     bool leaving = false;
+    // The receiver gets each heartbeat of the sender. Daemons of earlier releases send
+    // each one to all.
+    bool is_regular = true;
     // The sender reaches no endpoint.
     bool cut_off = false;
     // The newest change of the operators' entries that the sender knows from the store.
@@ -50,9 +54,7 @@
     // The store's era that the sender has seen, and for how long.
     store_era era;
     milliseconds era_age{0};
-    // The sender's load, by endpoint. Endpoints without load are left out. Some
-    // heartbeats contain no loads, and say nothing about them.
-    bool has_endpoint_loads = true;
+    // The sender's load, by endpoint. Only daemons of earlier releases send it here.
     std::map<endpoint_id, endpoint_load> endpoint_loads;
     // What the sender has observed of loads since its last heartbeat.
     std::vector<load_observation> load_observations;
@@ -65,19 +67,42 @@
     std::optional<service_versions> software_versions;
 };
 
-// The load of one daemon at one endpoint, without the counts by adapter.
-struct endpoint_counts
+// Asks an endpoint's keeper for the load of all others there.
+struct load_question
 {
+    question_number number;
+    // The sender has requests that wait until the endpoint can take them.
+    bool is_waiting = false;
+};
+
+// The load of a daemon at some endpoints, sent to their keepers. Requests that it is
+// about to send count. Endpoints that aren't listed have the load that was last reported.
+struct endpoint_load_message
+{
+    daemon_id sender;
+    std::map<endpoint_id, endpoint_load> loads;
+    std::map<endpoint_id, load_question> questions;
+    // Increases with each message of the sender, also over its restarts. Daemons of
+    // earlier releases send none.
+    std::uint64_t sequence = 0;
+};
+
+// What an endpoint's keeper knows of the load there, without the receiver's own.
+struct stated_load
+{
+    // The question that this answers; 0 if the keeper informs a daemon that waits.
+    question_number number;
     int in_flight = 0;
     int pending_prefill_tokens = 0;
+    // Contains the adapters for which the receiver has requests there.
+    std::map<adapter_id, int> in_flight_by_adapter;
 };
 
-// The load of a daemon at the endpoints where it changed, sent between heartbeats. Only
-// heartbeats contain the load by adapter.
-struct endpoint_load_message
+// The answer of a keeper to load questions.
+struct stated_load_message
 {
     daemon_id sender;
-    std::map<endpoint_id, endpoint_counts> counts;
+    std::map<endpoint_id, stated_load> loads;
 };
 
 struct reported_adapter
@@ -102,6 +127,12 @@
     std::uint64_t sequence = 0;
     int queued_loads = 0;
     std::vector<reported_adapter> adapters;
+    // The requests of all daemons at the engine, and their prompt tokens that it hasn't
+    // processed. Daemons of earlier releases state none.
+    std::optional<int> in_flight;
+    int pending_prefill_tokens = 0;
+    // The receiver relays the message to the daemons of its availability zone.
+    bool is_to_relay = false;
 };
 
 // The number of loads that an engine's holder has queued, sent between two inventories.
@@ -242,12 +273,19 @@
     request_rate bearable_rejections;
 };
 
+// Changes of the store, from a daemon that watches it for others.
+struct store_changes_message
+{
+    daemon_id sender;
+    std::vector<watch_news> watches;
+};
+
 using fleet_message =
     std::variant<heartbeat_message, endpoint_load_message, inventory_message,
                  load_queue_message, load_request_message, suspects_message,
                  prompt_parts_message, sync_request_message, sync_chunk_message,
                  endpoint_limit_message, permit_request_message, permit_message,
-                 endpoint_room_message>;
+                 endpoint_room_message, stated_load_message, store_changes_message>;
 
 // Encodes a message as MessagePack with a format version.
 std::string encode(const fleet_message& message);
--- a/servers/gateway/fleet_watcher.cpp
+++ b/servers/gateway/fleet_watcher.cpp
@@ -1,6 +1,7 @@
 #include "servers/gateway/fleet_watcher.hpp"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace pollenhaven
@@ -38,6 +39,18 @@
     return timing;
 }
 
+bool differs(const endpoint_record& left, const endpoint_record& right)
+{
+    const auto compared = [](const endpoint_record& record)
+    {
+        return std::tie(record.id, record.service, record.address, record.zone,
+                        record.software, record.slots, record.draining, record.started_ms,
+                        record.inventory.models);
+    };
+    return compared(left) != compared(right) ||
+           left.remaining.has_value() != right.remaining.has_value();
+}
+
 void apply_entry_adapters(endpoint_view& view, const endpoint_record& record, instant now)
 {
     view.adapters.clear();
@@ -57,6 +70,31 @@
 {
     for (store_watch* watch : watches())
         watch->retain_items();
+    endpoint_watch_.pass_on([this](const store_item& item)
+                            { return is_new_entry(item); });
+}
+
+bool fleet_watcher::is_new_entry(const store_item& item)
+{
+    if (item.deleted)
+    {
+        passed_on_.erase(item.key);
+        return true;
+    }
+    try
+    {
+        const endpoint_record record = context_.dialect.read_endpoint(item);
+        const auto before = passed_on_.find(item.key);
+        const bool is_new = before == passed_on_.end() || differs(before->second, record);
+        passed_on_[item.key] = record;
+        return is_new;
+    }
+    catch (const std::runtime_error&)
+    {
+        // The receivers log it as well.
+        passed_on_.erase(item.key);
+        return true;
+    }
 }
 
 void fleet_watcher::on_operator_item(const store_item& item)
@@ -252,6 +290,12 @@
         view.previously_loaded.insert(entry.adapter.adapter);
     }
     replace_adapters(view, adapters);
+    if (message.in_flight && message.sender != fleet.self)
+        view.others = peer_load{
+            std::max(0, *message.in_flight - view.in_flight - view.reserved_requests),
+            std::max(0, message.pending_prefill_tokens - view.pending_prefill_tokens -
+                            view.reserved_prefill_tokens),
+            view.others ? view.others->by_adapter : std::map<adapter_id, int>{}, now};
 }
 
 std::optional<inventory_message> last_reported_inventory(const endpoint_view& endpoint,
@@ -282,17 +326,25 @@
 void apply_endpoint_load(fleet_view& fleet, const endpoint_load_message& message,
                          instant now)
 {
-    member_view& member = fleet.members[message.sender];
-    for (const auto& [endpoint, counts] : message.counts)
+    for (const auto& [endpoint, load] : message.loads)
     {
         const auto found = fleet.endpoints.find(endpoint);
         if (found == fleet.endpoints.end())
             continue;
-        member.loaded_endpoints.insert(endpoint);
-        peer_load& load = found->second.peers[message.sender];
-        load.in_flight = counts.in_flight;
-        load.pending_prefill_tokens = counts.pending_prefill_tokens;
-        load.received_at = now;
+        record_peer_load(found->second, message.sender,
+                         {load.in_flight, load.pending_prefill_tokens,
+                          load.in_flight_by_adapter, now, message.sequence});
+    }
+}
+
+void apply_stated_load(fleet_view& fleet, const stated_load_message& message, instant now)
+{
+    for (const auto& [endpoint, load] : message.loads)
+    {
+        const auto found = fleet.endpoints.find(endpoint);
+        if (found != fleet.endpoints.end())
+            found->second.others = peer_load{load.in_flight, load.pending_prefill_tokens,
+                                             load.in_flight_by_adapter, now};
     }
 }
 
@@ -302,6 +354,7 @@
     member.id = message.sender;
     member.incarnation = message.incarnation;
     member.last_message_at = now;
+    member.sends_each_heartbeat = message.is_regular;
     member.ready = message.ready;
     member.leaving = message.leaving;
     member.cut_off = message.cut_off;
@@ -311,23 +364,7 @@
     adopt_load_times(fleet.load_times, message.load_times);
     for (const load_observation& observed : message.load_observations)
         observe_load(fleet.load_times, observed);
-    if (!message.has_endpoint_loads)
-        return;
-    for (const endpoint_id& endpoint : std::exchange(member.loaded_endpoints, {}))
-    {
-        const auto found = fleet.endpoints.find(endpoint);
-        if (found != fleet.endpoints.end() && !message.endpoint_loads.contains(endpoint))
-            found->second.peers.erase(message.sender);
-    }
-    for (const auto& [endpoint, load] : message.endpoint_loads)
-    {
-        const auto found = fleet.endpoints.find(endpoint);
-        if (found == fleet.endpoints.end())
-            continue;
-        found->second.peers[message.sender] = {
-            load.in_flight, load.pending_prefill_tokens, load.in_flight_by_adapter, now};
-        member.loaded_endpoints.insert(endpoint);
-    }
+    apply_endpoint_load(fleet, {message.sender, message.endpoint_loads, {}}, now);
 }
 
 } // namespace pollenhaven
--- a/servers/gateway/fleet_watcher.hpp
+++ b/servers/gateway/fleet_watcher.hpp
@@ -41,6 +41,9 @@
     void on_endpoint(const store_item& item);
     void on_endpoint_entry(const endpoint_record& record);
     void on_endpoint_gone(const endpoint_id& id);
+    // Returns true if an endpoint's entry differs from the one before in more than its
+    // adapters and counts, which the engine's holder reports.
+    bool is_new_entry(const store_item& item);
     // Uses the endpoints again whose entries the restored store has kept for so long that
     // they must be up.
     void confirm_restored_endpoints();
@@ -50,6 +53,8 @@
     endpoint_handler gone_;
     // Endpoints that were gone, and whose entries a restored store has again.
     std::set<endpoint_id> doubtful_endpoints_;
+    // The entries that were passed on last, without adapters and counts.
+    std::map<std::string, endpoint_record> passed_on_;
     store_watch operator_watch_;
     store_watch endpoint_watch_;
 };
@@ -69,7 +74,11 @@
 void apply_endpoint_load(fleet_view& fleet, const endpoint_load_message& message,
                          instant now);
 
-// Applies a peer's heartbeat, which replaces the peer's load at all endpoints.
+// Applies what a keeper states of the load of all other daemons.
+void apply_stated_load(fleet_view& fleet, const stated_load_message& message,
+                       instant now);
+
+// Applies a peer's heartbeat.
 void apply_heartbeat(fleet_view& fleet, const heartbeat_message& message, instant now);
 
 } // namespace pollenhaven
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -2,6 +2,8 @@
 
 #include "core/plugin_registry.hpp"
 #include "core/random_id.hpp"
+#include "policy/fleet/heartbeat_audience.hpp"
+#include "policy/fleet/zone_relay.hpp"
 #include "servers/gateway/base_versions.hpp"
 #include "servers/gateway/block_records.hpp"
 #include "servers/gateway/brittle_endpoints.hpp"
@@ -16,8 +18,10 @@
 #include "servers/gateway/idempotency_claims.hpp"
 #include "servers/gateway/link_monitor.hpp"
 #include "servers/gateway/load_observations.hpp"
+#include "servers/gateway/loads/endpoint_load_reports.hpp"
 #include "servers/gateway/request_flow.hpp"
 #include "servers/gateway/request_permits.hpp"
+#include "servers/gateway/store/change_publisher.hpp"
 #include "servers/gateway/store_sync.hpp"
 #include "servers/gateway/stream_records.hpp"
 
@@ -32,10 +36,16 @@
 namespace
 {
 
-// Interval at which claims, due orders and waiting requests are checked.
+// Interval at which due orders and waiting requests are checked.
 constexpr milliseconds work_interval{15};
+// Interval of what takes a pass over all endpoints and their adapters.
+constexpr milliseconds fleet_work_interval{60};
 constexpr milliseconds housekeeping_interval{250};
 constexpr milliseconds statistics_interval{5000};
+// Longer than the interval of the lease's renewals.
+constexpr milliseconds silence_before_heartbeats_to_all{600};
+// Shorter than the time for which a keeper uses a report.
+constexpr milliseconds load_report_interval{700};
 // Interval at which the settings file is checked; it may change without a SIGHUP.
 constexpr milliseconds settings_file_interval{1000};
 // Times since SIGTERM at which the daemon stops listening, closes idle connections, and
@@ -99,16 +109,26 @@
     std::vector<network_address> reachable_peers() const;
     void broadcast(const fleet_message& message);
     void send_to_member(const daemon_id& member, const fleet_message& message);
+    void send_to_members(const std::vector<daemon_id>& members,
+                         const fleet_message& message);
+    void send_inventory(const inventory_message& message);
+    // Passes an inventory on to this daemon's availability zone, if its sender asks so.
+    void relay(const inventory_message& message);
     void send_to_random_peers(const fleet_message& message);
     void send_to(const std::vector<network_address>& peers, const fleet_message& message);
     void request_load(const load_request_message& request);
     void send_heartbeat();
-    // Adds the loads of this daemon, and counts them as reported.
-    void add_endpoint_loads(heartbeat_message& message);
-    void broadcast_endpoint_load();
+    // Returns another number whenever something changes that each peer must know.
+    std::uint64_t status_number(const heartbeat_message& message);
+    // Counts the requests of a daemon, this one included, for the engine's orders and for
+    // the endpoint's request limit.
+    void record_endpoint_load(const daemon_id& sender, const endpoint_id& endpoint,
+                              const endpoint_load& load);
+    void report_endpoint_loads();
     void send_periodic_heartbeat();
     void update_own_member_view();
     void run_periodic_work();
+    void run_fleet_work();
     void run_housekeeping();
     void report_periodic_statistics();
     void handle_operator_request(stream_id caller, const http_head& head);
@@ -136,13 +156,18 @@
     stream_records records_;
     brittle_endpoints brittle_;
     link_monitor links_;
+    endpoint_load_reports loads_;
     request_flow flow_;
     engine_controller engine_controller_;
     fleet_membership membership_;
     fleet_watcher watcher_;
     store_sync store_sync_;
+    change_publisher publisher_;
     gateway_statistics statistics_;
-    int heartbeats_sent_ = 0;
+    heartbeat_audience audience_;
+    // What each peer must know of this daemon, and a number that changes with it.
+    std::string status_;
+    std::uint64_t status_number_ = 0;
     // Chooses the peers that are told something at random.
     std::mt19937 random_{std::random_device{}()};
     instant shutdown_began_{};
@@ -186,23 +211,32 @@
                  send_heartbeat();
                  flow_.on_links_changed();
              }),
+      loads_(
+          context_,
+          [this](const daemon_id& member, const fleet_message& message)
+          { send_to_member(member, message); },
+          [this](const fleet_message& message) { broadcast(message); },
+          [this](const daemon_id& sender, const endpoint_id& endpoint,
+                 const endpoint_load& load)
+          { record_endpoint_load(sender, endpoint, load); }),
       flow_(context_, caller_server_, pool_, guard_, claims_, permits_, records_,
-            brittle_, links_,
+            brittle_, links_, loads_,
             [this](const load_request_message& request) { request_load(request); }),
       engine_controller_(
           context_,
-          [this](const fleet_message& message)
+          [this](const inventory_message& message)
           {
-              broadcast(message);
-              const auto* inventory = std::get_if<inventory_message>(&message);
-              if (inventory == nullptr)
-                  return apply_load_queue(context_.fleet,
-                                          std::get<load_queue_message>(message),
-                                          context_.loop.now());
-              apply_inventory(context_.fleet, *inventory, context_.loop.now());
+              send_inventory(message);
+              apply_inventory(context_.fleet, message, context_.loop.now());
               // The dispatch is deferred, because this function may be called during one.
-              context_.loop.schedule_after(milliseconds(0), [this, changed = *inventory]
-                                           { dispatch_waiting_for(changed); });
+              context_.loop.schedule_after(milliseconds(0), [this, message]
+                                           { dispatch_waiting_for(message); });
+          },
+          [this](const std::vector<daemon_id>& requesters,
+                 const load_queue_message& message)
+          {
+              send_to_members(requesters, message);
+              apply_load_queue(context_.fleet, message, context_.loop.now());
           }),
       membership_(context_, [this](const endpoint_id& endpoint)
                   { engine_controller_.permission_changed(endpoint); }),
@@ -220,18 +254,20 @@
           }),
       store_sync_(context_,
                   [this](const network_address& to, const fleet_message& message)
-                  { context_.loop.send_datagram(to, encode(message)); })
-{
-    for (store_watch* watch : watcher_.watches())
+                  { context_.loop.send_datagram(to, encode(message)); }),
+      publisher_(context_, [this](const std::vector<daemon_id>& members,
+                                  const fleet_message& message)
+                 { send_to_members(members, message); })
+{
+    std::vector<store_watch*> watches = watcher_.watches();
+    watches.push_back(&membership_.watch());
+    for (store_watch* watch : watches)
+    {
         store_sync_.add_watch(*watch);
-    store_sync_.add_watch(membership_.watch());
-    flow_.on_endpoint_load_changed(
-        [this](bool at_engine)
-        {
-            context_.loop.schedule_after(
-                endpoint_load_interval(live_member_count(context_.fleet), at_engine),
-                [this] { broadcast_endpoint_load(); });
-        });
+        publisher_.add_watch(*watch);
+    }
+    loads_.on_load_known([this](const endpoint_id& endpoint)
+                         { flow_.dispatch_waiting_at(endpoint); });
     permits_.on_available([this] { dispatch_waiting(); });
     membership_.on_other_item(
         [this](const store_item& item)
@@ -309,12 +345,15 @@
         watcher_.operator_watch().on_peer_change(heartbeat->operator_change);
         permits_.on_heartbeat(*heartbeat);
         for (const auto& [endpoint, load] : heartbeat->endpoint_loads)
-            engine_controller_.record_adapter_usage(endpoint, load);
+            record_endpoint_load(heartbeat->sender, endpoint, load);
     }
     else if (const auto* load = std::get_if<endpoint_load_message>(&message))
-        apply_endpoint_load(context_.fleet, *load, now);
+        loads_.on_report(*load);
+    else if (const auto* stated = std::get_if<stated_load_message>(&message))
+        loads_.on_stated_load(*stated);
     else if (const auto* inventory = std::get_if<inventory_message>(&message))
     {
+        relay(*inventory);
         apply_inventory(context_.fleet, *inventory, now);
         dispatch_waiting_for(*inventory);
     }
@@ -336,6 +375,8 @@
         permits_.on_request(*permit_request);
     else if (const auto* permit = std::get_if<permit_message>(&message))
         permits_.on_permit(*permit);
+    else if (const auto* changes = std::get_if<store_changes_message>(&message))
+        publisher_.on_changes(*changes);
     else if (const auto* room = std::get_if<endpoint_room_message>(&message))
         brittle_.on_message(*room);
 }
@@ -363,8 +404,7 @@
 {
     std::vector<network_address> peers;
     for (const auto& [id, member] : context_.fleet.members)
-        if (id != context_.settings.id && !member.peer_address.empty() &&
-            (member.leased || context_.loop.now() - member.last_message_at < seconds(5)))
+        if (is_reachable_peer(context_.fleet, member, context_.loop.now()))
             peers.push_back(member.peer_address);
     return peers;
 }
@@ -376,9 +416,42 @@
 
 void gateway::send_to_member(const daemon_id& member, const fleet_message& message)
 {
-    const auto found = context_.fleet.members.find(member);
-    if (found != context_.fleet.members.end() && !found->second.peer_address.empty())
-        send_to({found->second.peer_address}, message);
+    send_to_members({member}, message);
+}
+
+void gateway::send_to_members(const std::vector<daemon_id>& members,
+                              const fleet_message& message)
+{
+    std::vector<network_address> peers;
+    for (const daemon_id& member : members)
+    {
+        const auto found = context_.fleet.members.find(member);
+        if (member != context_.settings.id && found != context_.fleet.members.end() &&
+            !found->second.peer_address.empty())
+            peers.push_back(found->second.peer_address);
+    }
+    send_to(peers, message);
+}
+
+void gateway::send_inventory(const inventory_message& message)
+{
+    const std::string key =
+        message.endpoint.value + "/" + std::to_string(message.sequence);
+    const relay_plan plan = plan_relays(context_.fleet, key, context_.loop.now());
+    send_to_members(plan.direct, message);
+    inventory_message relayed = message;
+    relayed.is_to_relay = true;
+    send_to_members(plan.relays, relayed);
+}
+
+void gateway::relay(const inventory_message& message)
+{
+    if (!message.is_to_relay)
+        return;
+    inventory_message relayed = message;
+    relayed.is_to_relay = false;
+    send_to_members(relay_targets(context_.fleet, message.sender, context_.loop.now()),
+                    relayed);
 }
 
 void gateway::send_to_random_peers(const fleet_message& message)
@@ -393,6 +466,8 @@
 void gateway::send_to(const std::vector<network_address>& peers,
                       const fleet_message& message)
 {
+    if (peers.empty())
+        return;
     const std::string bytes = encode(message);
     std::size_t bytes_sent = 0;
     for (const network_address& peer : peers)
@@ -438,47 +513,56 @@
     if (context_.routing != nullptr)
         message.software_versions = versions_to_report(
             context_.fleet, services_with_resumable_streams(*context_.routing));
-    message.has_endpoint_loads =
-        heartbeats_sent_++ %
-            heartbeats_per_load_report(live_member_count(context_.fleet)) ==
-        0;
-    if (message.has_endpoint_loads)
-        add_endpoint_loads(message);
-    broadcast(message);
+    // An outage of the store is one only if all members confirm it, and the next giver of
+    // permits must know the limits.
+    const bool to_all = message.store_silence >= silence_before_heartbeats_to_all ||
+                        !message.request_limits.empty();
+    const std::uint64_t status = status_number(message);
+    std::map<bool, std::vector<network_address>> peers;
+    for (const heartbeat_target& target :
+         next_targets(audience_, context_.fleet, status, to_all, context_.loop.now()))
+        peers[target.is_regular].push_back(
+            context_.fleet.members.at(target.member).peer_address);
+    for (const auto& [is_regular, addresses] : peers)
+    {
+        message.is_regular = is_regular;
+        send_to(addresses, message);
+    }
 }
 
-void gateway::add_endpoint_loads(heartbeat_message& message)
+std::uint64_t gateway::status_number(const heartbeat_message& message)
 {
-    for (const auto& [endpoint, counts] : flow_.take_started_requests())
-        message.endpoint_loads[endpoint].started_by_adapter = counts;
-    for (const auto& [endpoint, view] : context_.fleet.endpoints)
-    {
-        if (view.in_flight == 0 && !message.endpoint_loads.contains(endpoint))
-            continue;
-        endpoint_load& load = message.endpoint_loads[endpoint];
-        load.in_flight = view.in_flight;
-        load.pending_prefill_tokens = view.pending_prefill_tokens;
-        load.in_flight_by_adapter = view.in_flight_by_adapter;
-        engine_controller_.record_adapter_usage(endpoint, load);
-        permits_.record_started(context_.settings.id, endpoint, load);
-    }
+    heartbeat_message status;
+    status.ready = message.ready;
+    status.leaving = message.leaving;
+    status.cut_off = message.cut_off;
+    status.era = message.era;
+    status.request_limits = message.request_limits;
+    status.software_versions = message.software_versions;
+    // Two daemons are enough to tell the others of a change.
+    if (is_among_first_members(context_.fleet, leading_watches))
+        status.operator_change = message.operator_change;
+    std::string bytes = encode(status);
+    if (message.store_silence >= silence_before_heartbeats_to_all)
+        bytes += "to all";
+    if (bytes != status_)
+        ++status_number_;
+    status_ = std::move(bytes);
+    return status_number_;
 }
 
-// The load is also sent between heartbeats, so that peers that select an engine now take
-// its pending prefill into account.
-void gateway::broadcast_endpoint_load()
+void gateway::record_endpoint_load(const daemon_id& sender, const endpoint_id& endpoint,
+                                   const endpoint_load& load)
 {
-    endpoint_load_message message;
-    message.sender = context_.settings.id;
-    for (const endpoint_id& endpoint : flow_.take_changed_endpoints())
-    {
-        const auto found = context_.fleet.endpoints.find(endpoint);
-        if (found != context_.fleet.endpoints.end())
-            message.counts[endpoint] = {found->second.in_flight,
-                                        found->second.pending_prefill_tokens};
-    }
-    if (!message.counts.empty())
-        broadcast(message);
+    engine_controller_.record_adapter_usage(endpoint, load);
+    permits_.record_started(sender, endpoint, load);
+}
+
+void gateway::report_endpoint_loads()
+{
+    context_.loop.schedule_after(load_report_interval,
+                                 [this] { report_endpoint_loads(); });
+    loads_.report_all();
 }
 
 void gateway::send_periodic_heartbeat()
@@ -500,12 +584,17 @@
 void gateway::run_periodic_work()
 {
     context_.loop.schedule_after(work_interval, [this] { run_periodic_work(); });
-    membership_.run_periodic_work();
-    count_loads_in_progress(context_.fleet, context_.loop.now());
     engine_controller_.run_periodic_work();
     dispatch_waiting();
 }
 
+void gateway::run_fleet_work()
+{
+    context_.loop.schedule_after(fleet_work_interval, [this] { run_fleet_work(); });
+    membership_.run_periodic_work();
+    count_loads_in_progress(context_.fleet, context_.loop.now());
+}
+
 void gateway::report_periodic_statistics()
 {
     context_.loop.schedule_after(statistics_interval,
@@ -646,6 +735,9 @@
     if (!context_.settings.metrics_address.empty())
         operator_server_.listen(context_.settings.metrics_address);
     send_periodic_heartbeat();
+    report_endpoint_loads();
+    publisher_.run();
+    run_fleet_work();
     run_periodic_work();
     run_housekeeping();
     report_periodic_statistics();
--- a/servers/gateway/http_exchange.hpp
+++ b/servers/gateway/http_exchange.hpp
@@ -4,6 +4,7 @@
 #include "core/interfaces/platform_dialect.hpp"
 #include "policy/call_claim.hpp"
 #include "policy/fleet/event_stream.hpp"
+#include "policy/fleet/keeper_questions.hpp"
 #include "servers/gateway/event_loop.hpp"
 #include "servers/gateway/http_reader.hpp"
 
@@ -12,6 +13,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace pollenhaven
 {
@@ -75,6 +77,16 @@
     std::optional<endpoint_id> load_engine;
     instant load_requested_at{};
 
+    // The endpoint whose keeper counts the request before it is sent; empty if none does.
+    endpoint_id reserved_endpoint;
+    // The question that made the reservation, when it was sent, and the number of
+    // questions for the request so far.
+    question_number question;
+    instant asked_at{};
+    int questions = 0;
+    // The endpoints that could serve the request if they weren't busy.
+    std::vector<endpoint_id> busy_endpoints;
+
     // The only software version that may run the request: the one that began the stream,
     // or for which a record has been written.
     std::optional<software_version> software;
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -31,6 +31,17 @@
                       { return adapters.contains(exchange.request.adapter); });
 }
 
+void request_flow::dispatch_waiting_at(const endpoint_id& endpoint)
+{
+    dispatch_selected(
+        [&](const http_exchange& exchange)
+        {
+            const std::vector<endpoint_id>& busy = exchange.busy_endpoints;
+            return exchange.reserved_endpoint == endpoint ||
+                   std::find(busy.begin(), busy.end(), endpoint) != busy.end();
+        });
+}
+
 void request_flow::dispatch_selected(
     const std::function<bool(const http_exchange&)>& is_selected)
 {
@@ -57,7 +68,7 @@
 {
     http_exchange& exchange = exchanges_.at(id.value);
     const instant now = context_.loop.now();
-    if (!is_waiting(exchange))
+    if (!is_waiting(exchange) || awaits_answer(exchange))
         return;
     if (guard_.request_suspect_status(exchange) == suspect_status::blocked)
         return refuse_or_fail(
@@ -76,7 +87,12 @@
     if (exchange.is_from_peer && is_cut_off(context_.links))
         return refuse_or_fail(exchange, "cut_off", "this daemon reaches no endpoint");
     const dispatch_query query = dispatch_query_for(exchange);
+    const endpoint_id reserved = exchange.reserved_endpoint;
+    release_reservation(exchange);
     const dispatch_decision decision = choose_endpoint(context_.fleet, query, now);
+    if (!reserved.empty() && decision.endpoint != reserved)
+        loads_.report_soon(reserved);
+    exchange.busy_endpoints = decision.busy;
     if (decision.needs_load || decision.needs_replica)
         request_adapter_load(exchange, query, !decision.needs_load);
     // The load request handler may dispatch waiting requests before it returns, this one
@@ -84,7 +100,14 @@
     if (!exchanges_.contains(id.value) || !is_waiting(exchange))
         return;
     if (decision.endpoint)
-        return send_to_endpoint(exchange, *decision.endpoint);
+    {
+        const bool is_counted = decision.endpoint == reserved;
+        return is_counted || !needs_question(exchange, *decision.endpoint)
+                   ? send_to_endpoint(exchange, *decision.endpoint, is_counted)
+                   : ask_keeper(exchange, *decision.endpoint);
+    }
+    for (const endpoint_id& endpoint : decision.busy)
+        loads_.ask_while_waiting(endpoint);
     if (decision.needs_permit)
         permits_.request(*decision.needs_permit);
     if (decision.denied_until && *decision.denied_until > exchange.wait_deadline)
@@ -101,6 +124,61 @@
                        "no endpoint can run the request in time");
 }
 
+bool request_flow::awaits_answer(const http_exchange& exchange) const
+{
+    return !exchange.reserved_endpoint.empty() &&
+           !loads_.is_answered(exchange.reserved_endpoint, exchange.question) &&
+           context_.loop.now() - exchange.asked_at < keeper_answer_time;
+}
+
+bool request_flow::needs_question(const http_exchange& exchange,
+                                  const endpoint_id& endpoint) const
+{
+    return exchange.questions < max_questions_per_request &&
+           loads_.needs_question(endpoint);
+}
+
+void request_flow::ask_keeper(http_exchange& exchange, const endpoint_id& endpoint)
+{
+    endpoint_view& view = context_.fleet.endpoints.at(endpoint);
+    view.reserved_requests += 1;
+    view.reserved_prefill_tokens += exchange.request.prompt_tokens;
+    exchange.reserved_endpoint = endpoint;
+    exchange.question = loads_.ask(endpoint, false);
+    exchange.asked_at = context_.loop.now();
+    exchange.questions += 1;
+    context_.loop.schedule_after(
+        keeper_answer_time,
+        [this, id = exchange.id, endpoint, question = exchange.question]
+        {
+            if (loads_.is_answered(endpoint, question))
+                return;
+            loads_.on_unanswered(endpoint);
+            if (exchanges_.contains(id.value))
+                try_dispatch(id);
+        });
+}
+
+void request_flow::release_reservation(http_exchange& exchange)
+{
+    const auto found = context_.fleet.endpoints.find(exchange.reserved_endpoint);
+    exchange.reserved_endpoint = {};
+    if (found == context_.fleet.endpoints.end())
+        return;
+    endpoint_view& view = found->second;
+    view.reserved_requests = std::max(0, view.reserved_requests - 1);
+    view.reserved_prefill_tokens =
+        std::max(0, view.reserved_prefill_tokens - exchange.request.prompt_tokens);
+}
+
+void request_flow::withdraw_reservation(http_exchange& exchange)
+{
+    if (exchange.reserved_endpoint.empty())
+        return;
+    loads_.report_soon(exchange.reserved_endpoint);
+    release_reservation(exchange);
+}
+
 void request_flow::end_wait(http_exchange& exchange, const std::string& code,
                             const std::string& message, instant retry_at)
 {
@@ -177,13 +255,16 @@
     return waiting;
 }
 
-void request_flow::send_to_endpoint(http_exchange& exchange, const endpoint_id& endpoint)
+void request_flow::send_to_endpoint(http_exchange& exchange, const endpoint_id& endpoint,
+                                    bool is_counted)
 {
     const instant now = context_.loop.now();
     if (exchange.sends > 0 &&
         !take_retry(attempts_[exchange.service], context_.settings.retry_budget,
                     live_member_count(context_.fleet), now))
     {
+        if (is_counted)
+            loads_.report_soon(endpoint);
         return end_wait(exchange, "retry_budget", "too many requests are sent again");
     }
     endpoint_view& view = context_.fleet.endpoints.at(endpoint);
@@ -223,9 +304,10 @@
     view.pending_prefill_tokens += exchange.request.prompt_tokens;
     exchange.prefill_pending = true;
     view.in_flight_by_adapter[exchange.request.adapter] += 1;
-    started_requests_[endpoint][exchange.request.adapter] += 1;
+    loads_.record_started(endpoint, exchange.request.adapter);
     guard_.on_sent(exchange);
-    record_endpoint_change(exchange);
+    if (!is_counted)
+        loads_.report_soon(endpoint);
     exchange.timer = context_.loop.schedule_after(connect_timeout, [this, id]
                                                   { check_response_started(id); });
     log_event(exchange, "sent", "");
@@ -239,6 +321,7 @@
     exchange.endpoint = endpoint;
     exchange.is_relayed = false;
     exchange.sends += 1;
+    exchange.questions = 0;
     exchange.sent_at = context_.loop.now();
     exchange.has_response_head = false;
     exchange.discards_response = false;
@@ -281,16 +364,7 @@
         view.pending_prefill_tokens =
             std::max(0, view.pending_prefill_tokens - exchange.request.prompt_tokens);
     exchange.prefill_pending = false;
-    record_endpoint_change(exchange);
-}
-
-void request_flow::record_endpoint_change(const http_exchange& exchange)
-{
-    const bool at_engine = !exchange.request.model.empty();
-    bool& is_reported = at_engine ? engine_change_reported_ : plain_change_reported_;
-    changed_endpoints_.insert(exchange.endpoint);
-    if (!std::exchange(is_reported, true))
-        endpoint_load_changed_(at_engine);
+    loads_.report_soon(exchange.endpoint);
 }
 
 void request_flow::release_endpoint(http_exchange& exchange)
@@ -319,18 +393,4 @@
     exchange.reader.reset();
 }
 
-std::set<endpoint_id> request_flow::take_changed_endpoints()
-{
-    engine_change_reported_ = false;
-    plain_change_reported_ = false;
-    return std::exchange(changed_endpoints_, {});
-}
-
-std::map<endpoint_id, std::map<adapter_id, int>> request_flow::take_started_requests()
-{
-    std::map<endpoint_id, std::map<adapter_id, int>> started;
-    started.swap(started_requests_);
-    return started;
-}
-
 } // namespace pollenhaven
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -12,6 +12,7 @@
 #include "servers/gateway/http_server.hpp"
 #include "servers/gateway/idempotency_claims.hpp"
 #include "servers/gateway/link_monitor.hpp"
+#include "servers/gateway/loads/endpoint_load_reports.hpp"
 #include "servers/gateway/request_permits.hpp"
 #include "servers/gateway/stream_records.hpp"
 
@@ -39,7 +40,7 @@
     request_flow(gateway_context& context, http_server& callers, connection_pool& pool,
                  crash_guard& guard, idempotency_claims& claims, request_permits& permits,
                  stream_records& records, brittle_endpoints& brittle, link_monitor& links,
-                 load_request_handler request_load);
+                 endpoint_load_reports& loads, load_request_handler request_load);
 
     // Handles a request up to its response, which is sent on the caller's stream. While
     // this daemon is cut off from the endpoints, it relays the requests of its callers to
@@ -58,19 +59,9 @@
     // Returns true if a request waits for bytes of an endpoint.
     bool waits_for_endpoints() const;
     std::size_t requests_in_flight() const { return exchanges_.size(); }
-    // Sets the function that is called when the load of an endpoint changes: a request
-    // was sent, its prefill was completed or it ended. `at_engine` tells engines from
-    // endpoints of plain services. After one call for either kind the function isn't
-    // called again for it until take_changed_endpoints() has been called.
-    void on_endpoint_load_changed(std::function<void(bool at_engine)> call)
-    {
-        endpoint_load_changed_ = std::move(call);
-    }
-    // Returns the endpoints whose load changed since the last call.
-    std::set<endpoint_id> take_changed_endpoints();
-    // Returns the numbers of requests sent to each endpoint since the last call, by
-    // adapter.
-    std::map<endpoint_id, std::map<adapter_id, int>> take_started_requests();
+    // Dispatches the waiting requests that the endpoint may serve. Must be called when
+    // more is known of the load there.
+    void dispatch_waiting_at(const endpoint_id& endpoint);
 
 private:
     // Matches the request to a route, sets its time limits and starts its dispatch.
@@ -97,12 +88,25 @@
     // Dispatches the waiting requests that `is_selected` selects, the most urgent first.
     void dispatch_selected(const std::function<bool(const http_exchange&)>& is_selected);
     dispatch_query dispatch_query_for(http_exchange& exchange);
+    // True while the keeper's answer to the request's question may still arrive.
+    bool awaits_answer(const http_exchange& exchange) const;
+    // True if the endpoint's keeper must be asked before the request is sent there.
+    bool needs_question(const http_exchange& exchange, const endpoint_id& endpoint) const;
+    // Reserves a place at the endpoint and asks its keeper for the load of the others.
+    void ask_keeper(http_exchange& exchange, const endpoint_id& endpoint);
+    // Ends the request's reservation. The keeper must be informed unless the request is
+    // sent to the endpoint or reserves it again.
+    void release_reservation(http_exchange& exchange);
+    // Ends the request's reservation and informs the keeper.
+    void withdraw_reservation(http_exchange& exchange);
     // Asks an engine's holder to load the request's adapter. `replica` is true if other
     // engines hold it already and this load only offloads them.
     void request_adapter_load(http_exchange& exchange, const dispatch_query& query,
                               bool replica);
     int requests_waiting_for(const adapter_id& adapter) const;
-    void send_to_endpoint(http_exchange& exchange, const endpoint_id& endpoint);
+    // `is_counted` is true if the endpoint's keeper counts the request already.
+    void send_to_endpoint(http_exchange& exchange, const endpoint_id& endpoint,
+                          bool is_counted);
     // Resets what belongs to one attempt, before the next one is sent to `endpoint`.
     void begin_attempt(http_exchange& exchange, const endpoint_id& endpoint);
     // The handlers of the connection of an attempt.
@@ -123,7 +127,6 @@
     void record_connection_made(http_exchange& exchange);
     // Removes the request's prompt from the endpoint's pending prefill tokens.
     void record_prefill_done(http_exchange& exchange, endpoint_view& view);
-    void record_endpoint_change(const http_exchange& exchange);
     // Removes the attempt from the endpoint's load and from the running suspects.
     void release_endpoint(http_exchange& exchange);
     // Ends the attempt and resets its connection.
@@ -224,16 +227,12 @@
     stream_records& records_;
     brittle_endpoints& brittle_;
     link_monitor& links_;
+    endpoint_load_reports& loads_;
     load_request_handler request_load_;
     std::uint64_t next_id_ = 1;
     std::unordered_map<std::uint64_t, http_exchange> exchanges_;
     std::unordered_map<std::uint64_t, exchange_id> by_caller_;
     std::map<service_id, retry_window> attempts_;
-    std::map<endpoint_id, std::map<adapter_id, int>> started_requests_;
-    std::set<endpoint_id> changed_endpoints_;
-    bool engine_change_reported_ = false;
-    bool plain_change_reported_ = false;
-    std::function<void(bool)> endpoint_load_changed_ = [](bool) {};
 };
 
 } // namespace pollenhaven
--- a/servers/gateway/request_flow_admission.cpp
+++ b/servers/gateway/request_flow_admission.cpp
@@ -22,10 +22,11 @@
                            connection_pool& pool, crash_guard& guard,
                            idempotency_claims& claims, request_permits& permits,
                            stream_records& records, brittle_endpoints& brittle,
-                           link_monitor& links, load_request_handler request_load)
+                           link_monitor& links, endpoint_load_reports& loads,
+                           load_request_handler request_load)
     : context_(context), callers_(callers), pool_(pool), guard_(guard), claims_(claims),
       permits_(permits), records_(records), brittle_(brittle), links_(links),
-      request_load_(std::move(request_load))
+      loads_(loads), request_load_(std::move(request_load))
 {
 }
 
--- a/servers/gateway/request_flow_completion.cpp
+++ b/servers/gateway/request_flow_completion.cpp
@@ -94,6 +94,7 @@
 
 void request_flow::remove_exchange(http_exchange& exchange)
 {
+    withdraw_reservation(exchange);
     context_.loop.cancel(exchange.timer);
     context_.loop.cancel(exchange.deadline_timer);
     by_caller_.erase(exchange.caller.value);
--- a/servers/gateway/request_flow_relay.cpp
+++ b/servers/gateway/request_flow_relay.cpp
@@ -36,6 +36,7 @@
 void request_flow::send_to_peer(http_exchange& exchange, const member_view& peer)
 {
     const instant now = context_.loop.now();
+    withdraw_reservation(exchange);
     begin_attempt(exchange, relay_name(peer.id));
     exchange.is_relayed = true;
     exchange.is_new_connection = false;
--- a/servers/gateway/request_permits.cpp
+++ b/servers/gateway/request_permits.cpp
@@ -31,7 +31,7 @@
 
 bool request_permits::is_giver(const endpoint_id& endpoint) const
 {
-    return permit_giver(context_.fleet, endpoint) == context_.settings.id;
+    return endpoint_keeper(context_.fleet, endpoint) == context_.settings.id;
 }
 
 void request_permits::request(const endpoint_id& endpoint)
@@ -46,7 +46,7 @@
     message.endpoint_started_ms = view.record.started_ms;
     message.limit = view.limit.stated->rate;
     message.limit_age = to_milliseconds(now - view.limit.stated->learned_at);
-    const daemon_id giver = permit_giver(context_.fleet, endpoint);
+    const daemon_id giver = endpoint_keeper(context_.fleet, endpoint);
     if (giver == context_.settings.id)
         on_permit(answer(message));
     else if (!giver.empty())
@@ -159,7 +159,7 @@
     if (!view->limit.stated)
         return;
     const bool is_judged = message.permit.value == 0;
-    if (is_judged && message.sender == permit_giver(context_.fleet, message.endpoint))
+    if (is_judged && message.sender == endpoint_keeper(context_.fleet, message.endpoint))
         return end_limit(*view, "peer");
     if (is_judged || !is_giver(message.endpoint) ||
         !proves_end(*view->limit.stated, message.permit))
@@ -174,13 +174,12 @@
     for (const auto& [endpoint, limit] : message.request_limits)
     {
         const auto found = context_.fleet.endpoints.find(endpoint);
-        const bool is_reliable = found != context_.fleet.endpoints.end() &&
-                                 permit_giver(context_.fleet, endpoint) == message.sender;
+        const bool is_reliable =
+            found != context_.fleet.endpoints.end() &&
+            endpoint_keeper(context_.fleet, endpoint) == message.sender;
         if (is_reliable && set_limit(found->second.limit, limit, context_.loop.now()))
             log_limit(found->second, "peer");
     }
-    for (const auto& [endpoint, load] : message.endpoint_loads)
-        record_started(message.sender, endpoint, load);
 }
 
 void request_permits::record_started(const daemon_id& sender, const endpoint_id& endpoint,
@@ -231,12 +230,13 @@
 void request_permits::log_limit(const endpoint_view& view, const std::string& source)
 {
     const std::optional<stated_limit>& stated = view.limit.stated;
-    context_.log.write("endpoint limit",
-                       {{"endpoint", view.record.id.value},
-                        {"per_second", stated ? std::to_string(stated->rate.per_second)
-                                              : std::string("none")},
-                        {"source", source},
-                        {"giver", permit_giver(context_.fleet, view.record.id).value}});
+    context_.log.write(
+        "endpoint limit",
+        {{"endpoint", view.record.id.value},
+         {"per_second",
+          stated ? std::to_string(stated->rate.per_second) : std::string("none")},
+         {"source", source},
+         {"giver", endpoint_keeper(context_.fleet, view.record.id).value}});
 }
 
 void request_permits::schedule_dispatch()
--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -67,6 +67,7 @@
     context_.loop.schedule_after(pending_call_check_interval,
                                  [this] { check_pending_call(); });
     call_.is_in_older_era = is_in_older_era();
+    check_followed();
     const repeat_reason reason =
         reason_to_repeat(call_, context_.store, context_.loop.now());
     if (reason == repeat_reason::none)
@@ -98,6 +99,7 @@
 void store_watch::on_store_response()
 {
     call_.repeated_calls = 0;
+    call_.responded_at = context_.loop.now();
     record_response(context_.store, context_.loop.now());
     failures_ = 0;
 }
@@ -174,6 +176,7 @@
     call_.is_loaded = true;
     if (resynced_)
         resynced_();
+    has_news_();
     wait_for_changes();
 }
 
@@ -213,14 +216,75 @@
         positions_[item.key] = position;
     if (retains_items_)
         items_[item.key] = item;
+    if (watches_for_others() && is_passed_on_(item))
+        news_.push_back(item);
     changed_(item);
 }
 
+bool store_watch::watches_for_others() const
+{
+    return is_among_first_of_zone(context_.fleet, watching_daemons_per_zone);
+}
+
+milliseconds store_watch::longest_wait() const
+{
+    return is_among_first_members(context_.fleet, leading_watches) ? timing_.leading_wait
+                                                                   : timing_.wait;
+}
+
+std::optional<watch_news> store_watch::take_news()
+{
+    const auto response_age = context_.loop.now() - call_.responded_at;
+    const bool may_miss_changes =
+        store_silence(context_) > store_outage_threshold ||
+        response_age > longest_wait() + timing_.pause + watch_call_margin;
+    if (!is_loaded() || !watches_for_others() || may_miss_changes)
+    {
+        news_.clear();
+        news_taken_until_.reset();
+        return std::nullopt;
+    }
+    // The receivers know what came before the first message, or read it themselves.
+    if (!news_taken_until_)
+        news_.clear();
+    watch_news news{prefix_, news_taken_until_.value_or(call_.known_position),
+                    call_.known_position, std::exchange(news_, {})};
+    news_taken_until_ = call_.known_position;
+    return news;
+}
+
+void store_watch::follow(const watch_news& news)
+{
+    call_.is_in_older_era = is_in_older_era();
+    if (!can_follow(call_, news.after, news.position, context_.fleet.era))
+    {
+        call_.followed_at = {};
+        return check_followed();
+    }
+    for (const store_item& item : news.items)
+    {
+        newest_change_ = std::max(newest_change_, position_of(item));
+        apply(item);
+    }
+    pollenhaven::follow(call_, news.position, context_.loop.now());
+}
+
+void store_watch::check_followed()
+{
+    if (!is_following_ ||
+        (!watches_for_others() && may_follow(call_, context_.loop.now())))
+        return;
+    is_following_ = false;
+    context_.log.write("store watched again", {{"prefix", prefix_}});
+    call_.is_in_older_era ? list_again() : wait_for_changes();
+}
+
 void store_watch::wait_for_changes()
 {
-    const milliseconds wait = is_among_first_members(context_.fleet, leading_watches)
-                                  ? timing_.leading_wait
-                                  : timing_.wait;
+    is_following_ = !watches_for_others() && may_follow(call_, context_.loop.now());
+    if (is_following_)
+        return;
+    const milliseconds wait = longest_wait();
     send(context_.dialect.watch_call(prefix_, call_.known_position.revision, wait),
          wait + watch_call_margin,
          [this](const http_result& result) { on_changes(result); });
@@ -257,6 +321,8 @@
         }
         call_.known_position =
             std::max(call_.known_position, {context_.fleet.era, page.current});
+        if (!news_.empty())
+            has_news_();
         if (page.items.empty() || timing_.pause.count() == 0)
             return wait_for_changes();
         context_.loop.schedule_after(timing_.pause, [this] { wait_for_changes(); });
--- a/servers/gateway/store_watch.hpp
+++ b/servers/gateway/store_watch.hpp
@@ -3,6 +3,7 @@
 
 #include "policy/fleet/watch_call.hpp"
 #include "servers/gateway/gateway_context.hpp"
+#include "servers/gateway/store/watch_news.hpp"
 #include "servers/gateway/store_client.hpp"
 
 #include <functional>
@@ -10,6 +11,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace pollenhaven
 {
@@ -32,6 +34,7 @@
 {
 public:
     using change_handler = std::function<void(const store_item&)>;
+    using item_filter = std::function<bool(const store_item&)>;
 
     store_watch(gateway_context& context, std::string prefix, watch_timing timing,
                 change_handler changed);
@@ -45,6 +48,16 @@
 
     // Keeps the items from now on, including deletions, for peers that request them.
     void retain_items() { retains_items_ = true; }
+    // Sets a filter of the changes that are passed on to followers; the others have no
+    // meaning for them.
+    void pass_on(item_filter filter) { is_passed_on_ = std::move(filter); }
+    // Sets a function that is called when there are changes to pass on.
+    void on_news(std::function<void()> call) { has_news_ = std::move(call); }
+    // Takes the changes since the last call; none if this daemon doesn't watch for the
+    // others, or the store hasn't responded for so long that it may have more.
+    std::optional<watch_news> take_news();
+    // Applies the changes that a daemon sent which watches for this one.
+    void follow(const watch_news& news);
     // The items by key; empty without retain_items().
     const std::map<std::string, store_item>& items() const { return items_; }
     const std::string& prefix() const { return prefix_; }
@@ -79,6 +92,10 @@
     // Whether the store has been restored since the listing began.
     bool is_in_older_era() const { return call_.known_position.era < context_.fleet.era; }
     void on_store_response();
+    // Watches the store again if no peer sends its changes any more.
+    void check_followed();
+    bool watches_for_others() const;
+    milliseconds longest_wait() const;
 
     gateway_context& context_;
     std::string prefix_;
@@ -95,6 +112,13 @@
     // The store's position when the listing started; none before its first response.
     std::optional<store_position> listing_position_;
     watch_call call_;
+    // No call is pending, because a peer sends the changes.
+    bool is_following_ = false;
+    item_filter is_passed_on_ = [](const store_item&) { return true; };
+    std::function<void()> has_news_ = [] {};
+    std::vector<store_item> news_;
+    // The changes up to this position were taken; none before the first call.
+    std::optional<store_position> news_taken_until_;
     std::set<std::string> logged_faults_;
     int failures_ = 0;
     store_position newest_change_;
--- a/tests/contract/fleet_wire_test.cpp
+++ b/tests/contract/fleet_wire_test.cpp
@@ -130,7 +130,9 @@
     for (const char* const field : {"format", "kind", "from", "start", "ready", "leaving",
                                     "silence", "use", "loads", "store"})
         BOOST_TEST(body.contains(field), field);
-    BOOST_TEST(body.size() == 10U);
+    // It leaves the loads as they are that it knows otherwise.
+    BOOST_TEST(body.at("partial") == true);
+    BOOST_TEST(body.size() == 11U);
     std::string earlier;
     nlohmann::json::to_msgpack(body, earlier);
     const fleet_message decoded = decode(earlier);
@@ -148,7 +150,7 @@
     heartbeat.ready = true;
     heartbeat.cut_off = true;
     heartbeat.store_silence = milliseconds(1234);
-    heartbeat.endpoint_loads[{"i-1"}] = {3, 2400, {{{"base/a1"}, 2}}, {{{"base/a2"}, 5}}};
+    heartbeat.is_regular = false;
     heartbeat.load_observations = {{70, milliseconds(310), true}};
     heartbeat.operator_change = {{2}, {42}};
     heartbeat.software_versions = {{{"assistant"}, {{"v1"}, {"v2"}}}};
@@ -159,10 +161,7 @@
     BOOST_TEST(decoded_heartbeat.store_silence.count() == 1234);
     BOOST_TEST(decoded_heartbeat.cut_off);
     BOOST_TEST((decoded_heartbeat.software_versions == heartbeat.software_versions));
-    BOOST_TEST(decoded_heartbeat.endpoint_loads.at({"i-1"}).pending_prefill_tokens ==
-               2400);
-    BOOST_TEST(decoded_heartbeat.endpoint_loads.at({"i-1"}).started_by_adapter.at(
-                   {"base/a2"}) == 5);
+    BOOST_TEST(!decoded_heartbeat.is_regular);
     BOOST_REQUIRE(decoded_heartbeat.load_observations.size() == 1U);
     BOOST_TEST(decoded_heartbeat.load_observations[0].concurrent_loads == 70);
     BOOST_TEST(decoded_heartbeat.load_observations[0].complete);
@@ -190,11 +189,41 @@
     const fleet_message decoded_request = decode(encode(load));
     BOOST_TEST(std::get<load_request_message>(decoded_request).version->value == 4U);
 
-    const fleet_message decoded_load =
-        decode(encode(endpoint_load_message{{"daemon-1"}, {{{"i-1"}, {3, 2400}}}}));
-    BOOST_TEST(std::get<endpoint_load_message>(decoded_load)
-                   .counts.at({"i-1"})
-                   .pending_prefill_tokens == 2400);
+    endpoint_load_message report;
+    report.loads[{"i-1"}] = {3, 2400, {{{"base/a1"}, 2}}, {{{"base/a2"}, 5}}};
+    report.questions[{"i-1"}] = {{7}, true};
+    const fleet_message decoded_message = decode(encode(report));
+    const auto& decoded_report = std::get<endpoint_load_message>(decoded_message);
+    BOOST_TEST(decoded_report.loads.at({"i-1"}).pending_prefill_tokens == 2400);
+    BOOST_TEST(decoded_report.loads.at({"i-1"}).in_flight_by_adapter.at({"base/a1"}) ==
+               2);
+    BOOST_TEST(decoded_report.loads.at({"i-1"}).started_by_adapter.at({"base/a2"}) == 5);
+    BOOST_TEST(decoded_report.questions.at({"i-1"}).number.value == 7U);
+    BOOST_TEST(decoded_report.questions.at({"i-1"}).is_waiting);
+
+    stated_load_message stated;
+    stated.loads[{"i-1"}] = {{7}, 4, 1200, {{{"base/a1"}, 3}}};
+    const fleet_message decoded_stated = decode(encode(stated));
+    const stated_load& stated_load_at_engine =
+        std::get<stated_load_message>(decoded_stated).loads.at({"i-1"});
+    BOOST_TEST(stated_load_at_engine.number.value == 7U);
+    BOOST_TEST(stated_load_at_engine.in_flight == 4);
+    BOOST_TEST(stated_load_at_engine.pending_prefill_tokens == 1200);
+    BOOST_TEST(stated_load_at_engine.in_flight_by_adapter.at({"base/a1"}) == 3);
+
+    store_changes_message changes;
+    changes.watches.push_back({"op/",
+                               {{1}, {4}},
+                               {{1}, {9}},
+                               {{"op/a", std::string("\0\xff", 2), {8}, false, {1}}}});
+    const fleet_message decoded_changes = decode(encode(changes));
+    const watch_news& news =
+        std::get<store_changes_message>(decoded_changes).watches.at(0);
+    BOOST_TEST(news.prefix == "op/");
+    BOOST_TEST((news.after == store_position{{1}, {4}}));
+    BOOST_TEST((news.position == store_position{{1}, {9}}));
+    BOOST_TEST(news.items.at(0).value == std::string("\0\xff", 2));
+    BOOST_TEST((position_of(news.items.at(0)) == store_position{{1}, {8}}));
 
     const fleet_message decoded_suspects = decode(encode(
         suspects_message{{"daemon-1"}, {{"print", 2}}, {{"print", {{{"i-1"}, 7}}}}}));
--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -140,6 +140,7 @@
     stream_records records;
     brittle_endpoints brittle;
     link_monitor links;
+    endpoint_load_reports loads;
     request_flow flow;
     scripted_endpoint first;
     scripted_endpoint second;
@@ -156,6 +157,10 @@
     std::vector<fleet_message> broadcasts;
     // What the request permits sent to single peers.
     std::vector<fleet_message> sent;
+    // What was sent to the keepers of endpoints.
+    std::vector<endpoint_load_message> load_reports;
+    // The loads at endpoints with a request limit, which all peers get.
+    std::vector<fleet_message> load_broadcasts;
     // Called on each load request, while the request that needs the load is still being
     // dispatched.
     std::function<void()> on_load_request = [] {};
@@ -193,7 +198,15 @@
           brittle(context, [this](const fleet_message& message)
                   { broadcasts.push_back(message); }),
           links(context, pool, [this] { flow.on_links_changed(); }),
+          loads(
+              context,
+              [this](const daemon_id&, const fleet_message& message)
+              { load_reports.push_back(std::get<endpoint_load_message>(message)); },
+              [this](const fleet_message& message)
+              { load_broadcasts.push_back(message); },
+              [](const daemon_id&, const endpoint_id&, const endpoint_load&) {}),
           flow(context, callers, pool, guard, claims, permits, records, brittle, links,
+               loads,
                [this](const load_request_message& load)
                {
                    load_requests.push_back(load);
@@ -202,6 +215,8 @@
           first(context.loop), second(context.loop)
     {
         callers.listen(address);
+        loads.on_load_known([this](const endpoint_id& endpoint)
+                            { flow.dispatch_waiting_at(endpoint); });
         set_routes();
     }
 
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -105,6 +105,7 @@
     // Changes with which the next watch is answered.
     std::map<std::string, std::uint64_t> changes;
     int listings = 0;
+    int watches = 0;
     // The next watch is answered without an end.
     bool has_endless_watch = false;
     std::size_t endless_bytes = 0;
@@ -149,7 +150,7 @@
     {
         const std::string request = std::exchange(loop.input(from), "");
         const bool is_listing = request.find("kv-range") != std::string::npos;
-        listings += is_listing ? 1 : 0;
+        ++(is_listing ? listings : watches);
         if (!is_listing && std::exchange(has_endless_watch, false))
         {
             loop.send(from, "HTTP/1.1 200 OK\r\nStore-Era: " + era + "\r\n\r\n");
@@ -411,4 +412,61 @@
     BOOST_TEST(received.front().key == "op/c");
 }
 
+// Guards against store calls that grow with the fleet: a daemon whose zone has two others
+// that watch makes no call of its own, until it misses a change or hears nothing.
+BOOST_AUTO_TEST_CASE(a_daemon_watches_itself_only_when_it_can_not_follow)
+{
+    listed_watch listed;
+    for (const char* const name : {"a-first", "a-second"})
+        listed.context.fleet.members[{name}].leased = true;
+    const auto news = [&](std::uint64_t after, std::uint64_t position)
+    {
+        const store_era era = listed.context.fleet.era;
+        watch_news result{"op/", {era, {after}}, {era, {position}}, {}};
+        if (position > after)
+            result.items.push_back({"op/a", "", {position}, false, era});
+        return result;
+    };
+    // The call that was pending is answered first.
+    listed.watch->follow(news(50, 51));
+    listed.store.changes = {{"op/b", 52}};
+    listed.store.revision = 52;
+    BOOST_TEST(listed.received.size() == 1U);
+    listed.watch->follow(news(51, 53));
+    listed.watch->follow(news(53, 53));
+    listed.run_until([] { return false; }, milliseconds(600));
+    listed.watch->follow(news(53, 54));
+    BOOST_TEST(listed.received.size() == 4U);
+    BOOST_TEST(listed.watch->known_position().revision.value == 54U);
+    BOOST_TEST(listed.store.watches == 1);
+    // A gap.
+    listed.watch->follow(news(60, 61));
+    listed.run_until([&] { return listed.store.watches > 1; }, seconds(2));
+    BOOST_TEST(listed.store.watches == 2);
+    BOOST_TEST(listed.received.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(a_daemon_that_watches_for_others_passes_on_what_changed)
+{
+    listed_watch listed;
+    int told = 0;
+    listed.watch->on_news([&] { ++told; });
+    listed.watch->pass_on([](const store_item& item) { return item.key != "op/b"; });
+    const std::optional<watch_news> first = listed.watch->take_news();
+    BOOST_REQUIRE(first.has_value());
+    BOOST_TEST(first->items.empty());
+    const store_era era = listed.context.fleet.era;
+    listed.watch->apply_from_peer({"op/a", "", {51}, false, era});
+    listed.watch->apply_from_peer({"op/b", "", {52}, false, era});
+    const std::optional<watch_news> second = listed.watch->take_news();
+    BOOST_REQUIRE(second.has_value());
+    BOOST_REQUIRE(second->items.size() == 1U);
+    BOOST_TEST(second->items.front().key == "op/a");
+    BOOST_TEST((second->after == first->position));
+    // Others of the zone come first, so this daemon follows.
+    for (const char* const name : {"a-first", "a-second"})
+        listed.context.fleet.members[{name}].leased = true;
+    BOOST_TEST(!listed.watch->take_news().has_value());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -83,13 +83,13 @@
         write_settings(daemon);
         start_daemon(daemon);
     }
-    // A daemon reports ready before the engines have holders, so wait for a chat on an
-    // adapter, which needs an order to load it.
+    // A daemon reports ready before the engines have holders, so wait for these and for a
+    // chat on an adapter, which needs an order to load it.
     int attempt = 0;
     const auto serves_adapters = [&]
     {
         const std::string name = std::to_string(++attempt);
-        return all_ready() &&
+        return all_ready() && all_engines_held() &&
                send_platform_chat(0, "start-" + name, "start").status == 200;
     };
     if (!wait_for(serves_adapters, start_timeout))
@@ -97,6 +97,17 @@
             "the daemons did not serve a chat within 15 s; logs in " + directory_);
 }
 
+bool fleet::all_engines_held() const
+{
+    const nlohmann::json endpoints = read_operator_report(0, "endpoints");
+    return std::all_of(endpoints.begin(), endpoints.end(),
+                       [](const nlohmann::json& endpoint)
+                       {
+                           return endpoint["service"] != "assistant" ||
+                                  !endpoint["holder"].get<std::string>().empty();
+                       });
+}
+
 std::string fleet::start_standin(const std::vector<std::string>& arguments)
 {
     standins_.emplace_back(program_path("pollenhaven-standin"), arguments,
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -157,6 +157,8 @@
     static bool wait_for(const std::function<bool()>& condition,
                          std::chrono::milliseconds timeout);
     bool all_ready() const;
+    // True if each engine has a holder as far as daemon 0 knows.
+    bool all_engines_held() const;
 
 private:
     std::string start_standin(const std::vector<std::string>& arguments);
--- a/tests/policy/endpoint_links_test.cpp
+++ b/tests/policy/endpoint_links_test.cpp
@@ -33,6 +33,7 @@
         member.ready = true;
         member.leased = true;
         member.last_message_at = now;
+        member.sends_each_heartbeat = true;
         member.caller_address = {"10.0.0." + std::to_string(number) + ":1"};
         member.peer_address = {"10.0.0." + std::to_string(number) + ":2"};
     }
--- a/tests/policy/request_limit_test.cpp
+++ b/tests/policy/request_limit_test.cpp
@@ -58,7 +58,8 @@
         : random(seed), daemons(static_cast<std::size_t>(size)), demand_per_second(demand)
     {
         schedule_request();
-        const milliseconds interval(200 * heartbeats_per_load_report(size));
+        // The interval of the reports of loads, as in servers/gateway.
+        const milliseconds interval(700);
         for (int id = 0; id < size; ++id)
             after(milliseconds(random() % 200),
                   [this, id, interval] { report(id, interval); });
--- a/tests/policy/watch_call_test.cpp
+++ b/tests/policy/watch_call_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <array>
+#include <set>
 #include <vector>
 
 using namespace pollenhaven;
@@ -290,4 +291,64 @@
                    });
 }
 
+// Guards against a daemon that takes the silence of the peer that watches for it for a
+// store without changes, and against one that skips a change whose message was lost.
+BOOST_AUTO_TEST_CASE(a_follower_misses_no_change)
+{
+    check_property(
+        "a follower misses no change",
+        []
+        {
+            const instant began(seconds(1000));
+            watch_call watch;
+            watch.is_loaded = true;
+            std::uint64_t newest = 0;
+            std::set<std::uint64_t> known;
+            // A message: all changes after the first revision, up to the second one.
+            std::vector<std::pair<std::uint64_t, std::uint64_t>> messages;
+            for (int message = 0; message < 40; ++message)
+            {
+                const std::uint64_t added = *rc::gen::inRange(0, 3);
+                messages.emplace_back(newest, newest + added);
+                newest += added;
+            }
+            // They are lost, arrive twice and overtake each other.
+            for (int arrival = 0; arrival < 60; ++arrival)
+            {
+                const auto [after, until] =
+                    messages[*rc::gen::inRange<std::size_t>(0, messages.size())];
+                const store_position first{{1}, {after}};
+                const store_position last{{1}, {until}};
+                if (!can_follow(watch, first, last, {1}))
+                {
+                    RC_ASSERT(first > watch.known_position);
+                    // The call of its own that a gap leads to.
+                    for (std::uint64_t revision = 1; revision <= until; ++revision)
+                        known.insert(revision);
+                    watch.known_position = std::max(watch.known_position, last);
+                    continue;
+                }
+                for (std::uint64_t revision = after + 1; revision <= until; ++revision)
+                    known.insert(revision);
+                follow(watch, last, began);
+                RC_ASSERT(may_follow(watch, began + milliseconds(1100)));
+                RC_ASSERT(!may_follow(watch, began + milliseconds(1300)));
+                RC_ASSERT(known.size() == watch.known_position.revision.value);
+            }
+        });
+}
+
+BOOST_AUTO_TEST_CASE(changes_of_another_era_or_without_a_listing_are_not_followed)
+{
+    watch_call watch;
+    const store_position position{{1}, {9}};
+    BOOST_TEST(!can_follow(watch, {}, position, {1}));
+    watch.is_loaded = true;
+    BOOST_TEST(can_follow(watch, {}, position, {1}));
+    BOOST_TEST(!can_follow(watch, {}, position, {2}));
+    BOOST_TEST(!can_follow(watch, {}, {{2}, {1}}, {1}));
+    watch.is_in_older_era = true;
+    BOOST_TEST(!can_follow(watch, {}, position, {1}));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
