Ignore changes that a follower of the store knows already: a removed key came back

What callers may see: an endpoint that had left is in use again. A message about a change that arrives after the one about the key's removal was applied, since a removed key has no position that shows the item to be older.

--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -261,8 +261,13 @@
         call_.followed_at = {};
         return check_followed();
     }
+    const store_position known = call_.known_position;
     for (const store_item& item : news.items)
     {
+        // The messages overtake each other. A removed key has no position any more that
+        // would show that the item is older.
+        if (position_of(item) <= known)
+            continue;
         newest_change_ = std::max(newest_change_, position_of(item));
         apply(item);
     }
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -446,6 +446,21 @@
     BOOST_TEST(listed.received.size() == 4U);
 }
 
+// Guards against an endpoint that has left and is in use again: messages about its entry
+// and about its removal overtake each other.
+BOOST_AUTO_TEST_CASE(a_late_message_does_not_bring_a_removed_key_back)
+{
+    listed_watch listed;
+    const store_era era = listed.context.fleet.era;
+    listed.watch->follow(
+        {"op/", {era, {50}}, {era, {60}}, {{"op/a", "", {60}, true, era}}});
+    BOOST_REQUIRE(listed.received.size() == 1U);
+    BOOST_TEST(listed.received.back().deleted);
+    listed.watch->follow(
+        {"op/", {era, {50}}, {era, {55}}, {{"op/a", "", {55}, false, era}}});
+    BOOST_TEST(listed.received.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(a_daemon_that_watches_for_others_passes_on_what_changed)
 {
     listed_watch listed;
