--- a/tests/process/orders_test.cpp
+++ b/tests/process/orders_test.cpp
@@ -4,6 +4,7 @@
 #define BOOST_TEST_MODULE orders
 #include "tests/process/checks.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -35,6 +36,23 @@
     return std::stoi(id.substr(id.find('-') + 1));
 }
 
+// Returns the holders of all engines as daemon 0 knows them, once it knows all of them.
+std::map<std::string, std::string> settled_holders(const fleet& deployment, int engines)
+{
+    std::map<std::string, std::string> holders;
+    const bool is_settled = fleet::wait_for(
+        [&]
+        {
+            holders = holders_by_engine(deployment, 0);
+            return static_cast<int>(holders.size()) == engines &&
+                   std::none_of(holders.begin(), holders.end(),
+                                [](const auto& entry) { return entry.second.empty(); });
+        },
+        seconds(15));
+    BOOST_REQUIRE(is_settled);
+    return holders;
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_holder_paused_past_its_lease_breaks_no_guarantees)
@@ -43,7 +61,8 @@
     options.daemons = 4;
     options.engines = 4;
     fleet deployment(options);
-    const std::string paused_holder = holders_by_engine(deployment, 0).at("i-0");
+    const std::string paused_holder =
+        settled_holders(deployment, options.engines).at("i-0");
     const int number = daemon_number(paused_holder);
     const int observer = number == 0 ? 1 : 0;
     background_traffic traffic(deployment, daemons_without(deployment, number));
@@ -67,7 +86,8 @@
 BOOST_AUTO_TEST_CASE(a_store_outage_of_a_minute_interrupts_no_chats_and_changes_no_holder)
 {
     const fleet deployment;
-    const std::map<std::string, std::string> before = holders_by_engine(deployment, 0);
+    const std::map<std::string, std::string> before =
+        settled_holders(deployment, fleet_options{}.engines);
     background_traffic traffic(deployment, all_daemons(deployment));
     std::this_thread::sleep_for(seconds(1));
     deployment.set_store_down(true);
