--- a/review/standins/http.h
+++ b/review/standins/http.h
@@ -267,10 +267,16 @@
     return address;
 }
 
+inline int first_port()
+{
+    const char* const text = std::getenv("REVIEW_FIRST_PORT");
+    return text != nullptr ? std::atoi(text) : 20000 + (::getpid() * 37) % 9000;
+}
+
 // A free port below the range of the ports that the system gives to outgoing connections.
 inline int free_port()
 {
-    static std::atomic<int> next{20000 + (::getpid() * 37) % 9000};
+    static std::atomic<int> next{first_port()};
     while (true)
     {
         const int port = next++;
@@ -309,7 +315,6 @@
     void refuse()
     {
         const std::lock_guard lock(mutex_);
-        refusing_ = true;
         ::close(std::exchange(listener_, -1));
         for (const auto& weak : connections_)
             if (const connection_ptr peer = weak.lock())
@@ -319,8 +324,8 @@
     void accept_again()
     {
         const std::lock_guard lock(mutex_);
-        refusing_ = false;
-        open();
+        if (listener_ < 0)
+            open();
     }
 
 private:
@@ -380,7 +385,6 @@
     handler handle_;
     std::mutex mutex_;
     int listener_ = -1;
-    bool refusing_ = false;
     std::vector<std::weak_ptr<connection>> connections_;
 };
 
--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -134,6 +134,47 @@
         view_of(daemon).cut = is_cut;
         changed_.notify_all();
     }
+    // While the store is down, it refuses all calls with 503, or doesn't answer them.
+    void set_down(bool is_down, bool is_silent)
+    {
+        silent_ = is_silent;
+        down_ = is_down;
+        changed_.notify_all();
+    }
+    // Keeps a copy of the store as it is now.
+    void save_copy()
+    {
+        const std::lock_guard lock(mutex_);
+        copied_items_ = items_;
+        copied_history_ = history_;
+        copied_revision_ = revision_;
+    }
+    // Comes back from the copy: what the system has written since is gone, and so are all
+    // leases with their keys. What operators and workers have written is written again.
+    void restore_copy()
+    {
+        const std::lock_guard lock(mutex_);
+        std::map<std::string, json> foreign;
+        for (const auto& [key, item] : items_)
+            if (key.rfind("pollenhaven/", 0) != 0)
+                foreign[key] = item;
+        items_ = copied_items_;
+        history_ = copied_history_;
+        revision_ = copied_revision_;
+        ++era_;
+        std::vector<std::string> gone;
+        for (const auto& [key, item] : items_)
+            if (item["lease"].get<std::uint64_t>() != 0)
+                gone.push_back(key);
+        leases_.clear();
+        for (const std::string& key : gone)
+            remove_locked(key);
+        for (const auto& [key, item] : foreign)
+            if (!items_.contains(key) || items_[key]["value"] != item["value"])
+                put_locked(key, item["value"], 0);
+        changed_.notify_all();
+    }
+
     // Chooses a fault for a write.
     std::function<call_fault(const std::string& daemon, const json& change)> write_fault;
     // Is told of each write that was carried out or refused.
@@ -200,7 +241,8 @@
             return false;
         }
         return peer->send_all(response_text(
-            status, "Content-Type: application/json\r\nStore-Era: 1\r\n", body.dump()));
+            status, "Content-Type: application/json\r\nStore-Era: " + std::to_string(era_) + "\r\n",
+            body.dump()));
     }
 
     bool handle(daemon_view& view, const message& request, const connection_ptr& peer)
@@ -214,6 +256,14 @@
             if (::poll(&state, 1, 0) > 0)
                 return false;
         }
+        if (down_ && !silent_)
+            return answer(view, peer, 503, json::object());
+        while (down_)
+        {
+            sleep_ms(5);
+            if (!down_)
+                return false;
+        }
         const std::string path = request.path();
         if (path == "/v1/kv-key")
             return read_key(view, request, peer);
@@ -315,6 +365,16 @@
                 wait_while_cut(view);
                 return false;
             }
+            if (down_)
+            {
+                lock.unlock();
+                return false;
+            }
+            if (after > revision_)
+            {
+                lock.unlock();
+                return answer(view, peer, 410, json::object());
+            }
             json events = json::array();
             for (const json& event : history_)
                 if (event["revision"].get<std::uint64_t>() > after &&
@@ -432,6 +492,9 @@
             sleep_ms(25);
             {
                 const std::lock_guard lock(mutex_);
+                if (down_)
+                    for (auto& [id, held] : leases_)
+                        held.renewed_at += 25;
                 std::vector<std::uint64_t> expired;
                 for (const auto& [id, held] : leases_)
                     if (now_ms() - held.renewed_at > held.ttl_ms)
@@ -449,6 +512,12 @@
     std::map<std::string, json> items_;
     std::vector<json> history_;
     std::uint64_t revision_ = 1;
+    std::atomic<int> era_{1};
+    std::atomic<bool> down_{false};
+    std::atomic<bool> silent_{false};
+    std::map<std::string, json> copied_items_;
+    std::vector<json> copied_history_;
+    std::uint64_t copied_revision_ = 1;
     std::uint64_t last_lease_ = 100;
     std::map<std::uint64_t, lease> leases_;
     std::vector<std::unique_ptr<daemon_view>> views_;
--- a/review/standins/worker.h
+++ b/review/standins/worker.h
@@ -79,8 +79,11 @@
                 {
                     sleep_ms(heartbeat_ms);
                     const std::lock_guard lock(leave_mutex_);
-                    if (!left_)
+                    if (!left_ && !is_down_)
                         write_entry();
+                    // The store removes the entry after three heartbeats of silence.
+                    if (is_down_ && now_ms() - down_since_ > 3 * heartbeat_ms)
+                        store_.remove(key());
                 }
             })
             .detach();
@@ -96,9 +99,34 @@
     // The process ends: what it runs is broken off.
     void exit()
     {
+        ++start_;
+        down_since_ = now_ms();
+        is_down_ = true;
         for (auto& [daemon, port] : ports_)
             port->refuse();
     }
+    // The process starts again under its id, empty.
+    void start_again()
+    {
+        {
+            const std::lock_guard lock(mutex_);
+            adapters_.clear();
+            accepted_ = 0;
+            born_ = std::chrono::duration_cast<ms>(
+                        std::chrono::system_clock::now().time_since_epoch())
+                        .count();
+        }
+        for (auto& [daemon, port] : ports_)
+            port->accept_again();
+        is_down_ = false;
+        write_entry();
+    }
+    // Whether the worker was ordered to hold more adapters than it can.
+    bool overfilled()
+    {
+        const std::lock_guard lock(mutex_);
+        return overfilled_;
+    }
 
     std::vector<order_event> orders()
     {
@@ -232,6 +260,8 @@
         entry.version = order.value("version", 1);
         entry.ready_at = now_ms() + options_.load_ms;
         entry.unloading = false;
+        overfilled_ = overfilled_ ||
+                      static_cast<int>(adapters_.size()) > options_.adapter_slots;
         return 202;
     }
 
@@ -278,6 +308,7 @@
                 ++held->second.running;
             record_run(from, request);
         }
+        const int start = start_;
         sleep_ms(options_.work_ms);
         const std::string last = request.field("Last-Event-Id");
         int next = last.empty() ? 1 : std::atoi(last.c_str()) + 1;
@@ -286,7 +317,7 @@
                                    request.field("X-Pollenhaven-Request-Id") +
                                    "\r\nContent-Type: text/event-stream\r\n"
                                    "Transfer-Encoding: chunked\r\n\r\n");
-        for (; sent && next <= options_.events; ++next)
+        for (; sent && start == start_ && next <= options_.events; ++next)
         {
             const std::string event = "id: " + std::to_string(next) + "\ndata: " + id_ + "\n\n";
             char size[16];
@@ -294,7 +325,7 @@
             sent = peer->send_all(size + event + "\r\n");
             sleep_ms(options_.event_ms);
         }
-        sent = sent && peer->send_all("0\r\n\r\n");
+        sent = sent && start == start_ && peer->send_all("0\r\n\r\n");
         const std::lock_guard lock(mutex_);
         const auto held = adapters_.find(adapter);
         if (held != adapters_.end() && --held->second.running <= 0 && held->second.unloading)
@@ -327,6 +358,10 @@
     std::atomic<bool> left_{false};
     std::map<std::string, held_adapter> adapters_;
     std::uint64_t accepted_ = 0;
+    bool overfilled_ = false;
+    std::atomic<int> start_{0};
+    std::atomic<bool> is_down_{false};
+    std::atomic<double> down_since_{0};
     std::vector<order_event> orders_;
     std::vector<run_event> runs_;
 };
