--- a/review/standins/platform.h
+++ b/review/standins/platform.h
@@ -125,7 +125,9 @@
                      const std::string& address)
     {
         const std::lock_guard lock(mutex_);
-        view_of(daemon).addresses[key] = address;
+        for (const auto& view : views_)
+            if (view->name == daemon)
+                view->addresses[key] = address;
     }
     // While a daemon is cut off, nothing of what it sends is carried out or answered, and
     // no answer reaches it.
--- a/review/standins/worker.h
+++ b/review/standins/worker.h
@@ -35,6 +35,8 @@
     struct options
     {
         std::string service;
+        // The version of its software; each event of a stream names it.
+        std::string software = "1";
         bool is_engine = false;
         int slots = 16;
         int adapter_slots = 30;
@@ -121,6 +123,8 @@
         is_down_ = false;
         write_entry();
     }
+    // From now on this share of plain requests fails with a 503 after they ran.
+    void fail_percent(int percent) { failing_percent_ = percent; }
     // Whether the worker was ordered to hold more adapters than it can.
     bool overfilled()
     {
@@ -162,7 +166,7 @@
         json entry{{"service", options_.service},
                    {"addr", ports_.begin()->second->address()},
                    {"zone", "lautoka"},
-                   {"version", "1"},
+                   {"version", options_.software},
                    {"slots", options_.slots},
                    {"state", "ready"},
                    {"coldRemainingMs", 0},
@@ -319,7 +323,8 @@
                                    "Transfer-Encoding: chunked\r\n\r\n");
         for (; sent && start == start_ && next <= options_.events; ++next)
         {
-            const std::string event = "id: " + std::to_string(next) + "\ndata: " + id_ + "\n\n";
+            const std::string event = "id: " + std::to_string(next) + "\ndata: " + id_ +
+                                      " v" + options_.software + "\n\n";
             char size[16];
             snprintf(size, sizeof size, "%zx\r\n", event.size());
             sent = peer->send_all(size + event + "\r\n");
@@ -340,8 +345,12 @@
             record_run(from, request);
         }
         sleep_ms(options_.work_ms);
+        const bool fails = static_cast<int>(++plain_runs_ * 37 % 100) < failing_percent_;
+        if (fails)
+            log_.line("%s: answers %s with 503, it has run", id_.c_str(),
+                      request.field("X-Pollenhaven-Request-Id").c_str());
         return peer->send_all(response_text(
-            200,
+            fails ? 503 : 200,
             common_fields(request) + "X-Pollenhaven-Server-Signature: " + id_ + "." +
                 request.field("X-Pollenhaven-Request-Id") + "\r\n",
             "done " + request.field("X-Pollenhaven-Request-Id")));
@@ -359,6 +368,8 @@
     std::map<std::string, held_adapter> adapters_;
     std::uint64_t accepted_ = 0;
     bool overfilled_ = false;
+    std::atomic<int> failing_percent_{0};
+    std::atomic<unsigned> plain_runs_{0};
     std::atomic<int> start_{0};
     std::atomic<bool> is_down_{false};
     std::atomic<double> down_since_{0};
