Streams at a new version wait for their record or begin at the base version (ORDER)

Cause: events of a stream were passed on after 1.5 s whether or not the record of its version was in the store, while every search takes an absent record for "began at the base version".

Fix: while engines of the base version serve, no event of a stream at another version is passed on before its record is confirmed. After 1 s it begins at the base version, if its record was never sent; a record without an answer may be carried out late, so that request ends and its caller sends another. A batch without an answer is repeated alone, which keeps later records unsent. An absent record proves the same at all times again, also if all daemons are lost at once.

Cost to sound callers: up to 1 s for streams at the new version that begin in the first second of an outage beside a release, and one more arrival each; nothing in calm.

--- a/policy/fleet/stream_origin.cpp
+++ b/policy/fleet/stream_origin.cpp
@@ -118,6 +118,14 @@
     return version != base->version || has_just_changed;
 }
 
+bool may_begin_without_record(const fleet_view& fleet, const service_id& service,
+                              const software_version& version, instant now)
+{
+    const base_version* const base = find_base(fleet, service);
+    return base != nullptr && (version == base->version ||
+                               !is_version_serving(fleet, service, base->version, now));
+}
+
 std::optional<software_version> version_for_new_stream(const fleet_view& fleet,
                                                        const service_id& service,
                                                        milliseconds store_silence,
--- a/policy/fleet/stream_origin.hpp
+++ b/policy/fleet/stream_origin.hpp
@@ -76,6 +76,11 @@
 bool needs_record(const fleet_view& fleet, const service_id& service,
                   const software_version& version, instant now);
 
+// Returns true if a stream may begin at this version although its record isn't known to
+// be in the store: nobody takes it for a stream of another version that serves.
+bool may_begin_without_record(const fleet_view& fleet, const service_id& service,
+                              const software_version& version, instant now);
+
 // Returns the version to which a new stream is restricted: the base version if the store,
 // silent for the time `store_silence`, may not take a record and engines of that version
 // serve. None if it may begin at any version.
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -355,7 +355,8 @@
     exchange.record_pending = true;
     const exchange_id id = exchange.id;
     records_.record(exchange.request.id, endpoint.software,
-                    [this, id] { on_stream_recorded(id); });
+                    [this, id](bool is_recorded)
+                    { on_stream_recorded(id, is_recorded); });
 }
 
 void request_flow::record_prefill_done(http_exchange& exchange, endpoint_view& view)
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -71,7 +71,10 @@
     void on_stream_located(exchange_id id, const stream_origin& origin);
     // Has the version of a new stream recorded, if it needs a record.
     void record_stream_version(http_exchange& exchange, const endpoint_record& endpoint);
-    void on_stream_recorded(exchange_id id);
+    void on_stream_recorded(exchange_id id, bool is_recorded);
+    // Begins a stream whose record is late at the base version instead. If that isn't
+    // possible, the request ends, and its caller can send another one.
+    void begin_at_base_version(http_exchange& exchange);
     // Keeps to the version of the present attempt, whose response begins the stream.
     void remember_stream_version(http_exchange& exchange);
     void claim_idempotency_key(http_exchange& exchange);
--- a/servers/gateway/request_flow_streams.cpp
+++ b/servers/gateway/request_flow_streams.cpp
@@ -38,12 +38,16 @@
 
 } // namespace
 
-void request_flow::on_stream_recorded(exchange_id id)
+void request_flow::on_stream_recorded(exchange_id id, bool is_recorded)
 {
     const auto found = exchanges_.find(id.value);
     if (found == exchanges_.end())
         return;
     http_exchange& exchange = found->second;
+    if (!is_recorded &&
+        !may_begin_without_record(context_.fleet, exchange.service, *exchange.software,
+                                  context_.loop.now()))
+        return begin_at_base_version(exchange);
     exchange.record_pending = false;
     const bool has_answer = exchange.phase == exchange_phase::sent &&
                             exchange.has_response_head && !exchange.discards_response;
@@ -51,6 +55,30 @@
         relay(exchange, exchange.held_end);
 }
 
+void request_flow::begin_at_base_version(http_exchange& exchange)
+{
+    const auto base = context_.fleet.base_versions.find(exchange.service);
+    const bool was_sent = exchange.phase == exchange_phase::sent;
+    log_event(exchange, "record late", "");
+    drop_upstream(exchange);
+    exchange.possible_runs += was_sent ? 1 : 0;
+    exchange.phase = exchange_phase::waiting;
+    const bool can_begin_again = !was_sent || may_retry(exchange);
+    if (base == context_.fleet.base_versions.end() || !can_begin_again ||
+        !records_.withdraw(exchange.request.id))
+        return refuse_or_fail(exchange, "stream_not_recorded",
+                              "the software version of the stream can't be recorded");
+    exchange.software = base->second.version;
+    exchange.record_pending = false;
+    const instant now = context_.loop.now();
+    exchange.wait_deadline =
+        std::max(exchange.wait_deadline,
+                 now + max_wait_time(*exchange.matched_route,
+                                     to_milliseconds(exchange.deadline - now)));
+    exchange.load_requested_at = {};
+    wait_for_endpoint(exchange);
+}
+
 void request_flow::relay_stream(http_exchange& exchange, bool is_complete)
 {
     if (exchange.record_pending)
--- a/servers/gateway/stream_records.cpp
+++ b/servers/gateway/stream_records.cpp
@@ -15,8 +15,8 @@
 constexpr milliseconds call_timeout{900};
 constexpr milliseconds retry_interval{100};
 // A stream waits for its record up to this long. Callers give a stream up after a gap
-// of two seconds or more.
-constexpr milliseconds max_record_wait{1500};
+// of two seconds or more, and another endpoint needs a part of that for the first event.
+constexpr milliseconds max_record_wait{1000};
 // The store's limit on the entries of one transaction.
 constexpr std::size_t max_batch_entries = 32;
 // Removals that are due are written in full batches, or when the next record is.
@@ -67,10 +67,18 @@
         return;
     store_transaction transaction;
     std::vector<pending_record> batch;
-    while (!pending_.empty() && batch.size() < max_batch_entries)
+    // A batch without an answer is repeated alone, so that the other records stay unsent
+    // and can be withdrawn.
+    const bool is_repeated = !pending_.empty() && pending_.front().was_sent;
+    while (!pending_.empty() && batch.size() < max_batch_entries &&
+           pending_.front().was_sent == is_repeated)
     {
         batch.push_back(std::move(pending_.front()));
         pending_.pop_front();
+        batch.back().was_sent = true;
+        const auto known = known_.find(batch.back().stream);
+        if (known != known_.end())
+            known->second.was_sent = true;
         transaction.writes.push_back(
             {stream_record_key(batch.back().stream),
              encode_record(batch.back().stream, batch.back().version), 0});
@@ -102,7 +110,7 @@
         record_response(context_.store, context_.loop.now());
         for (const pending_record& written : batch)
             if (written.done)
-                written.done();
+                written.done(true);
         return schedule_write();
     }
     context_.log.write("stream records not written",
@@ -124,13 +132,25 @@
     {
         if (!entry.done || now - entry.requested_at < max_record_wait)
             continue;
-        context_.log.write(
-            "stream continues without its record",
-            {{"request", entry.stream.value}, {"software", entry.version.value}});
+        context_.log.write("stream record late",
+                           {{"request", entry.stream.value},
+                            {"software", entry.version.value},
+                            {"sent", std::int64_t{entry.was_sent}}});
         released.push_back(std::exchange(entry.done, nullptr));
     }
     for (const recorded_handler& done : released)
-        done();
+        done(false);
+}
+
+bool stream_records::withdraw(const request_id& stream)
+{
+    const auto known = known_.find(stream);
+    if (known == known_.end() || known->second.was_sent)
+        return false;
+    known_.erase(known);
+    std::erase_if(pending_,
+                  [&](const pending_record& entry) { return entry.stream == stream; });
+    return true;
 }
 
 void stream_records::remember(const request_id& stream, const software_version& version)
--- a/servers/gateway/stream_records.hpp
+++ b/servers/gateway/stream_records.hpp
@@ -21,7 +21,8 @@
 class stream_records
 {
 public:
-    using recorded_handler = std::function<void()>;
+    // Called with false if the store hasn't confirmed the record in time.
+    using recorded_handler = std::function<void(bool is_recorded)>;
     using origin_handler = stream_searches::origin_handler;
     using loaded_check = stream_searches::loaded_check;
 
@@ -32,6 +33,9 @@
     // then, or after max_record_wait, when the stream must not wait any longer.
     void record(const request_id& stream, const software_version& version,
                 recorded_handler done);
+    // Withdraws a record that was never sent to the store. Returns false if it was: the
+    // store may still carry the write out, so the stream can't begin at another version.
+    bool withdraw(const request_id& stream);
     // Keeps in memory that the stream's first event came from this version.
     void remember(const request_id& stream, const software_version& version);
     // Finds the version that began a stream of the service. `done` is called with the
@@ -49,6 +53,8 @@
         instant requested_at;
         // Null once it has been called.
         recorded_handler done;
+        // A write with this record was sent; without an answer, it may be carried out.
+        bool was_sent = false;
     };
     struct known_stream
     {
@@ -58,6 +64,8 @@
         // An event of it has been passed on.
         bool has_begun = false;
         bool has_record = false;
+        // As pending_record::was_sent.
+        bool was_sent = false;
     };
 
     void schedule_write();
@@ -65,7 +73,7 @@
     void on_batch_written(const std::vector<pending_record>& batch,
                           const std::vector<std::string>& removals,
                           const http_result& result);
-    // Lets the streams go on whose records take too long to write.
+    // Ends the wait of the streams whose records take too long to write.
     void release_late_streams();
     // Writes the records again that a restored store may have lost.
     void handle_new_era();
--- a/tests/policy/stream_origin_test.cpp
+++ b/tests/policy/stream_origin_test.cpp
@@ -508,6 +508,19 @@
     BOOST_TEST(!needs_record(single, service, {"v1"}, start));
 }
 
+// Guards against streams that are taken for streams of the base version because their
+// record isn't in the store (ORDER).
+BOOST_AUTO_TEST_CASE(only_streams_that_nobody_can_join_begin_without_their_record)
+{
+    fleet_view fleet = fleet_with({"v1", "v2"});
+    BOOST_TEST(!may_begin_without_record(fleet, service, {"v2"}, start));
+    set_base(fleet, "v1");
+    BOOST_TEST(may_begin_without_record(fleet, service, {"v1"}, start));
+    BOOST_TEST(!may_begin_without_record(fleet, service, {"v2"}, start));
+    fleet.endpoints.at({"i-0"}).draining = true;
+    BOOST_TEST(may_begin_without_record(fleet, service, {"v2"}, start));
+}
+
 BOOST_AUTO_TEST_CASE(new_streams_keep_to_the_base_version_while_the_store_is_silent)
 {
     fleet_view fleet = fleet_with({"v1", "v2"});
--- a/tests/process/stream_version_test.cpp
+++ b/tests/process/stream_version_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE stream_versions
 #include "tests/process/checks.hpp"
 
+#include <future>
 #include <set>
 #include <thread>
 
@@ -115,8 +116,111 @@
     return result;
 }
 
+// One stream over the tries of its caller.
+struct caller_stream
+{
+    // The request that brought its first event, and what came then.
+    std::string begun_as;
+    event_stream begun;
+    event_stream rest;
+};
+
+// Begins a stream at daemon 0, at another one if that fails, and resumes it there once
+// `may_resume` has returned.
+caller_stream run_caller(const fleet& deployment, int number,
+                         const std::function<void()>& may_resume)
+{
+    caller_stream result;
+    const int other = 1 + number % (deployment.daemon_count() - 1);
+    result.begun_as = request_id("begin", number);
+    result.begun = deployment.stream_platform_chat(0, result.begun_as);
+    if (result.begun.events.empty())
+    {
+        result.begun_as = request_id("again", number);
+        result.begun = deployment.stream_platform_chat(other, result.begun_as);
+    }
+    if (result.begun.is_complete || result.begun.events.empty())
+        return result;
+    may_resume();
+    result.rest = deployment.resume_platform_chat(other, request_id("resume", number),
+                                                  result.begun_as,
+                                                  result.begun.events.rbegin()->first);
+    return result;
+}
+
+void set_store_links(const fleet& deployment, const std::string& mode)
+{
+    for (int daemon = 0; daemon < deployment.daemon_count(); ++daemon)
+        control_standin(deployment.store_proxy_control_address(daemon), {{"mode", mode}});
+}
+
 } // namespace
 
+// Guards against streams whose version has no record, since the store fell silent as they
+// began, and which another daemon resumes at the base version after a kill (ORDER).
+BOOST_AUTO_TEST_CASE(streams_begun_as_the_store_falls_silent_are_not_joined_after_a_kill)
+{
+    constexpr milliseconds between_streams{25};
+    constexpr milliseconds silent_after{300};
+    constexpr milliseconds kill_after_silence{2500};
+    fleet_options options = two_versions();
+    options.proxy_store = true;
+    options.events_per_stream = 70;
+    fleet deployment(options);
+    std::promise<void> store_is_back;
+    const std::shared_future<void> back = store_is_back.get_future().share();
+    std::vector<caller_stream> results(streams);
+    std::vector<std::thread> threads;
+    threads.emplace_back(
+        [&]
+        {
+            std::this_thread::sleep_for(silent_after);
+            set_store_links(deployment, "silent");
+            std::this_thread::sleep_for(kill_after_silence);
+            deployment.daemon(0).kill();
+            set_store_links(deployment, "pass");
+            std::this_thread::sleep_for(seconds(1));
+            store_is_back.set_value();
+        });
+    for (int number = 0; number < streams; ++number)
+    {
+        threads.emplace_back(
+            [&, number]
+            {
+                results.at(static_cast<std::size_t>(number)) =
+                    run_caller(deployment, number, [&] { back.wait(); });
+            });
+        std::this_thread::sleep_for(between_streams);
+    }
+    for (std::thread& thread : threads)
+        thread.join();
+    int complete = 0;
+    int joined = 0;
+    std::map<std::string, int> begun_at;
+    for (const caller_stream& result : results)
+    {
+        if (result.begun.events.empty())
+            continue;
+        const std::string version =
+            software_of(options, result.begun.events.begin()->second);
+        ++begun_at[version];
+        const auto is_other = [&](const auto& event)
+        { return software_of(options, event.second) != version; };
+        joined +=
+            std::any_of(result.rest.events.begin(), result.rest.events.end(), is_other) ||
+                    std::any_of(result.begun.events.begin(), result.begun.events.end(),
+                                is_other)
+                ? 1
+                : 0;
+        complete += result.begun.is_complete || result.rest.is_complete ? 1 : 0;
+    }
+    BOOST_TEST(begun_at.size() == 2U);
+    BOOST_TEST(joined == 0);
+    // Nine of ten streams that can go on have to.
+    BOOST_TEST(10 * complete >= 9 * streams,
+               complete << " of " << streams << " complete");
+}
+
 // Guards against streams that their callers resume, after all daemons were killed, at an
 // engine of another software version than the one that began them (ORDER), and against
 // refusing them although that version serves (LOST).
