store_watch: an older item of a peer does not bring a removed key back (DRAIN)

Ruled out: a stale listing (the store was read before the answer).

Fix: a key that doesn't exist at the known position had been removed by then, so items of peers up to that position are ignored; later removals keep their positions until the known one passes them. Holds for all watched keys, for followers and for pages of a listing. The store's own answers aren't compared with the known position: a stand-in that lists at a revision and reports a change with the same one showed that this would be stricter than needed.

Cost to sound callers: none; one map look-up for each item of a peer.

--- a/servers/gateway/store_watch.cpp
+++ b/servers/gateway/store_watch.cpp
@@ -172,7 +172,7 @@
     for (const auto& [key, position] : positions)
         if (!listed_keys_.contains(key) && position <= *listing_position_)
             apply({key, "", listing_position_->revision, true, listing_position_->era});
-    call_.known_position = *listing_position_;
+    advance_to(*listing_position_);
     call_.is_loaded = true;
     if (resynced_)
         resynced_();
@@ -189,31 +189,51 @@
                                {{"prefix", prefix_}, {"reason", fault}});
 }
 
+std::optional<store_position> store_watch::newest_position(const std::string& key) const
+{
+    const auto existing = positions_.find(key);
+    if (existing != positions_.end())
+        return existing->second;
+    const auto removed = removals_.find(key);
+    return removed == removals_.end() ? std::nullopt : std::optional(removed->second);
+}
+
+void store_watch::advance_to(store_position position)
+{
+    call_.known_position = std::max(call_.known_position, position);
+    std::erase_if(removals_, [this](const auto& entry)
+                  { return entry.second <= call_.known_position; });
+}
+
 void store_watch::apply(const store_item& item)
 {
     if (!item.key.starts_with(prefix_))
         return;
     const store_position position = position_of(item);
-    const auto found = positions_.find(item.key);
-    if (found != positions_.end() && position <= found->second)
+    const std::optional<store_position> newest = newest_position(item.key);
+    if (newest && position <= *newest)
     {
-        if (position < found->second)
+        if (position < *newest)
             context_.log.write(
                 "older change ignored",
                 {{"key", item.key},
                  {"era", static_cast<std::int64_t>(item.era.value)},
                  {"revision", static_cast<std::int64_t>(item.revision.value)},
-                 {"known_era", static_cast<std::int64_t>(found->second.era.value)},
-                 {"known_revision",
-                  static_cast<std::int64_t>(found->second.revision.value)}});
+                 {"known_era", static_cast<std::int64_t>(newest->era.value)},
+                 {"known_revision", static_cast<std::int64_t>(newest->revision.value)}});
         return;
     }
-    if (item.deleted && found == positions_.end())
-        return;
     if (item.deleted)
-        positions_.erase(found);
+    {
+        removals_[item.key] = position;
+        if (positions_.erase(item.key) == 0)
+            return;
+    }
     else
+    {
+        removals_.erase(item.key);
         positions_[item.key] = position;
+    }
     if (retains_items_)
         items_[item.key] = item;
     if (watches_for_others() && is_passed_on_(item))
@@ -221,6 +241,14 @@
     changed_(item);
 }
 
+void store_watch::apply_from_peer(const store_item& item)
+{
+    // A key that doesn't exist at the known position had been removed by then.
+    if (!positions_.contains(item.key) && position_of(item) <= call_.known_position)
+        return;
+    apply(item);
+}
+
 bool store_watch::watches_for_others() const
 {
     return is_among_first_of_zone(context_.fleet, watching_daemons_per_zone);
@@ -261,17 +289,13 @@
         call_.followed_at = {};
         return check_followed();
     }
-    const store_position known = call_.known_position;
     for (const store_item& item : news.items)
     {
-        // The messages overtake each other. A removed key has no position any more that
-        // would show that the item is older.
-        if (position_of(item) <= known)
-            continue;
         newest_change_ = std::max(newest_change_, position_of(item));
-        apply(item);
+        apply_from_peer(item);
     }
     pollenhaven::follow(call_, news.position, context_.loop.now());
+    advance_to(news.position);
 }
 
 void store_watch::check_followed()
@@ -324,8 +348,7 @@
             newest_change_ = std::max(newest_change_, position_of(item));
             apply(item);
         }
-        call_.known_position =
-            std::max(call_.known_position, {context_.fleet.era, page.current});
+        advance_to({context_.fleet.era, page.current});
         if (!news_.empty())
             has_news_();
         if (page.items.empty() || timing_.pause.count() == 0)
--- a/servers/gateway/store_watch.hpp
+++ b/servers/gateway/store_watch.hpp
@@ -69,8 +69,8 @@
     // received.
     void on_peer_change(store_position position);
     // Applies a change that a peer sent, unless the key is known at the same or a later
-    // position.
-    void apply_from_peer(const store_item& item) { apply(item); }
+    // position, or has been removed since.
+    void apply_from_peer(const store_item& item);
 
 private:
     void list_again();
@@ -80,6 +80,11 @@
     void wait_for_changes();
     void on_changes(const http_result& result);
     void apply(const store_item& item);
+    // The position of the newest known change of the key, which may be its removal; none
+    // if there was none, or the removal isn't later than `known_position`.
+    std::optional<store_position> newest_position(const std::string& key) const;
+    // Must be called when all changes up to this position are known.
+    void advance_to(store_position position);
     // Logs the items of the page that can't be read, unless they have been logged before.
     void log_faults(const store_page& page);
     void retry(const std::string& reason, int status);
@@ -105,6 +110,8 @@
     store_client client_;
     // Positions of the keys that exist, by key.
     std::map<std::string, store_position> positions_;
+    // Positions of removals later than `known_position`, by key.
+    std::map<std::string, store_position> removals_;
     bool retains_items_ = false;
     std::map<std::string, store_item> items_;
     // The keys in the listing in progress.
--- a/tests/contract/store_watch_test.cpp
+++ b/tests/contract/store_watch_test.cpp
@@ -461,6 +461,43 @@
     BOOST_TEST(listed.received.size() == 1U);
 }
 
+// Guards against an endpoint that has left and is in use again: a peer that stood still
+// answers a question with the entry from before the removal (DRAIN).
+BOOST_AUTO_TEST_CASE(a_late_answer_of_a_peer_does_not_bring_a_removed_key_back)
+{
+    listed_watch listed;
+    const store_era era = listed.context.fleet.era;
+    listed.watch->follow(
+        {"op/", {era, {50}}, {era, {61}}, {{"op/a", "", {60}, true, era}}});
+    BOOST_REQUIRE(listed.received.size() == 1U);
+    BOOST_TEST(listed.received.back().deleted);
+    listed.watch->apply_from_peer({"op/a", "", {40}, false, era});
+    listed.watch->apply_from_peer({"op/a", "", {59}, false, era});
+    BOOST_TEST(listed.received.size() == 1U);
+    listed.watch->apply_from_peer({"op/a", "", {62}, false, era});
+    BOOST_TEST(listed.received.size() == 2U);
+}
+
+// As above, at a daemon that doesn't reach the store and has learned of the removal from
+// another peer.
+BOOST_AUTO_TEST_CASE(an_older_item_of_a_peer_does_not_undo_a_removal_known_from_another)
+{
+    listed_watch listed;
+    const store_era era = listed.context.fleet.era;
+    listed.watch->apply_from_peer({"op/a", "", {55}, false, era});
+    listed.watch->apply_from_peer({"op/a", "", {60}, true, era});
+    listed.watch->apply_from_peer({"op/a", "", {58}, false, era});
+    BOOST_REQUIRE(listed.received.size() == 2U);
+    BOOST_TEST(listed.received.back().deleted);
+    // The removal of a key that this daemon has never known.
+    listed.watch->apply_from_peer({"op/unknown", "", {60}, true, era});
+    listed.watch->apply_from_peer({"op/unknown", "", {57}, false, era});
+    BOOST_TEST(listed.received.size() == 2U);
+    // A restored store counts anew.
+    listed.watch->apply_from_peer({"op/a", "", {40}, false, {era.value + 1}});
+    BOOST_TEST(listed.received.size() == 3U);
+}
+
 BOOST_AUTO_TEST_CASE(a_daemon_that_watches_for_others_passes_on_what_changed)
 {
     listed_watch listed;
