--- a/servers/gateway/http_reader.cpp
+++ b/servers/gateway/http_reader.cpp
@@ -24,19 +24,22 @@
 
 template <class Parser> void configure(Parser& parser, const message_limits& limits)
 {
-    parser.eager(true);
+    // The head is evaluated before the body, and without trailers.
+    parser.eager(false);
     parser.header_limit(static_cast<std::uint32_t>(limits.head_bytes));
     parser.body_limit(limits.body_bytes);
 }
 
-// Passes input to the parser until it needs more bytes or the message ends, and appends
-// the decoded bytes to `body`.
+// Passes input to the parser until it needs more bytes, or the head or the message ends,
+// and appends the decoded bytes to `body`.
 template <class Parser>
 boost::beast::error_code feed(Parser& parser, std::string& input, std::string& body)
 {
     boost::beast::error_code error;
     std::size_t used = 0;
-    while (used < input.size() && !parser.is_done())
+    const bool had_head = parser.is_header_done();
+    while (used < input.size() && !parser.is_done() &&
+           parser.is_header_done() == had_head)
     {
         const std::size_t count = parser.put(
             boost::asio::buffer(input.data() + used, input.size() - used), error);
@@ -135,6 +138,38 @@
     copy_fields(message, head_);
 }
 
+int http_reader::parse(std::string& input)
+{
+    return parser_->request ? feed(*parser_->request, input, body).value()
+                            : feed(*parser_->response, input, body).value();
+}
+
+bool http_reader::has_sound_framing() const
+{
+    constexpr unsigned http_1_1 = 11;
+    const unsigned version = parser_->request ? parser_->request->get().version()
+                                              : parser_->response->get().version();
+    std::size_t codings = 0;
+    std::size_t lengths = 0;
+    bool is_chunked = false;
+    for (const http_field& field : head_.fields)
+    {
+        if (same_field_name(field.name, "Content-Length"))
+        {
+            ++lengths;
+            if (!std::all_of(field.value.begin(), field.value.end(), is_digit))
+                return false;
+        }
+        if (!same_field_name(field.name, "Transfer-Encoding"))
+            continue;
+        ++codings;
+        is_chunked = same_field_name(field.value, "chunked");
+    }
+    if (codings == 0)
+        return lengths <= 1;
+    return codings == 1 && is_chunked && lengths == 0 && version == http_1_1;
+}
+
 read_state http_reader::fail(int error_value)
 {
     error_ = read_error::bad_message;
@@ -147,10 +182,7 @@
 
 read_state http_reader::read(std::string& input)
 {
-    const boost::beast::error_code error = parser_->request
-                                               ? feed(*parser_->request, input, body)
-                                               : feed(*parser_->response, input, body);
-    has_body_ = has_body_ || !body.empty();
+    int error = parse(input);
     const bool head_done = parser_->request ? parser_->request->is_header_done()
                                             : parser_->response->is_header_done();
     if (head_done && !has_head_)
@@ -160,9 +192,17 @@
             contains_other_response(std::string(parser_->response->get().reason()),
                                     head_))
             return fail(static_cast<int>(http::error::bad_reason));
+        if (!has_sound_framing())
+        {
+            error_ = read_error::bad_framing;
+            return read_state::malformed;
+        }
+        if (error == 0)
+            error = parse(input);
     }
-    if (error)
-        return fail(error.value());
+    has_body_ = has_body_ || !body.empty();
+    if (error != 0)
+        return fail(error);
     // What is left of the input is an incomplete head, chunk head or trailer.
     if (input.size() > max_line_bytes_ && !is_done())
         return fail(static_cast<int>(http::error::header_limit));
--- a/servers/gateway/http_reader.hpp
+++ b/servers/gateway/http_reader.hpp
@@ -24,6 +24,9 @@
 {
     none,
     bad_message,
+    // The fields that give the length of the body contradict each other or can't be
+    // understood (RFC 9112, 6.1 to 6.3).
+    bad_framing,
     body_too_large,
     head_too_large
 };
@@ -53,7 +56,8 @@
 
     // Consumes the bytes of the message from the front of the input. Leaves the bytes
     // after the end of the message. A response in whose head another one begins is
-    // malformed: the two would be read as one.
+    // malformed: the two would be read as one. So is a message whose length can't be told
+    // for certain, because its rest could be taken for another message.
     read_state read(std::string& input);
     // Handles the end of the connection, which completes a response body without a
     // length. Any other incomplete message is malformed.
@@ -75,7 +79,11 @@
 private:
     struct parser;
 
+    // Parses input up to the end of the head, or of the message once the head is known.
+    // Returns an error of the parser, or 0.
+    int parse(std::string& input);
     void take_head();
+    bool has_sound_framing() const;
     read_state fail(int error_value);
     bool is_done() const;
 
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -247,6 +247,14 @@
     if (reader.error() == read_error::body_too_large)
         return send_error(id, not_run_failure(status_too_large, "body_too_large",
                                               "the request's body exceeds the limit"));
+    if (reader.error() == read_error::bad_framing)
+    {
+        context_.log.write("request refused unread", {{"reason", "ambiguous_length"}});
+        return send_error(
+            id, not_run_failure(status_bad_request, "ambiguous_length",
+                                "Transfer-Encoding and Content-Length don't give the "
+                                "length of the request's body for certain"));
+    }
     send_error(id, not_run_failure(status_bad_request, "malformed_request",
                                    "the bytes are not an HTTP/1.1 request"));
 }
--- a/tests/contract/caller_connections_test.cpp
+++ b/tests/contract/caller_connections_test.cpp
@@ -443,4 +443,96 @@
     BOOST_TEST(half_closed.received.starts_with("HTTP/1.1 503"), half_closed.received);
 }
 
+namespace
+{
+
+// Forms of the fields that give the length of a message, none of which is certain.
+const std::vector<std::string> ambiguous_framings{
+    "Transfer-Encoding: xchunked\r\n",
+    "Transfer-Encoding: identity\r\n",
+    "Transfer-Encoding: chunked, identity\r\n",
+    "Transfer-Encoding: gzip, chunked\r\n",
+    "Transfer-Encoding: chunked, chunked\r\n",
+    "Transfer-Encoding: chunked;q=1\r\n",
+    "Transfer-Encoding: \"chunked\"\r\n",
+    "Transfer-Encoding: chunked,\r\n",
+    "Transfer-Encoding: chunk ed\r\n",
+    "Transfer-Encoding:\r\n",
+    "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n",
+    "Transfer-Encoding: identity\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding: identity\r\nContent-Length: 5\r\n",
+    "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n",
+    "Transfer-Encoding : chunked\r\n",
+    "Content-Length: 5\r\nContent-Length: 50\r\n",
+    "Content-Length: 5, 5\r\n",
+    "Content-Length: +5\r\n"};
+
+} // namespace
+
+// Guards against a request that is smuggled in the body of another one, whose length
+// can't be told: it was run as the next request of the connection (UNASKED).
+BOOST_AUTO_TEST_CASE(the_body_of_a_request_without_a_certain_length_is_not_a_request)
+{
+    for (const std::string& framing : ambiguous_framings)
+        for (const bool is_at_once : {true, false})
+        {
+            server_fixture test;
+            int requests = 0;
+            test.respond = [&](stream_id id)
+            {
+                ++requests;
+                test.server.send_response(id, 200, "", "fine");
+            };
+            caller smuggler = test.connect();
+            const std::string head = "POST / HTTP/1.1\r\nHost: h\r\n" + framing + "\r\n";
+            smuggler.send(is_at_once ? head + request : head);
+            test.run_for(milliseconds(5));
+            if (!is_at_once)
+                ::send(smuggler.socket.number(), request.data(), request.size(),
+                       MSG_NOSIGNAL);
+            test.run_for(milliseconds(10));
+            smuggler.receive();
+            BOOST_TEST(requests == 0, framing);
+            BOOST_TEST(smuggler.received.rfind("HTTP/1.1 4") == 0U,
+                       framing << smuggler.received);
+            BOOST_TEST(smuggler.received.starts_with("HTTP/1.1 400"), framing);
+            BOOST_TEST(smuggler.ended, framing);
+        }
+}
+
+// HTTP/1.0 has no transfer codings (RFC 9112, 6.1).
+BOOST_AUTO_TEST_CASE(a_transfer_coding_in_an_older_protocol_version_is_refused)
+{
+    server_fixture test;
+    caller old = test.connect();
+    old.send("POST / HTTP/1.0\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+    test.run_for(milliseconds(10));
+    old.receive();
+    BOOST_TEST(old.received.starts_with("HTTP/1.1 400"), old.received);
+}
+
+// Guards against trailers that replace or add fields of their request, such as its model
+// (UNASKED).
+BOOST_AUTO_TEST_CASE(trailers_of_a_request_are_not_among_its_fields)
+{
+    const std::string chunks = "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: "
+                               "Chunked\r\n\r\n4\r\nbody\r\n0\r\n";
+    std::string input = chunks + "X-Late: 1\r\nHost: other\r\n\r\nnext";
+    http_reader reader(http_reader::message_kind::request, message_limits{});
+    BOOST_TEST((reader.read(input) == read_state::complete));
+    BOOST_TEST(reader.body == "body");
+    BOOST_TEST(input == "next");
+    BOOST_TEST(reader.head().fields.size() == 2U);
+    // A length that comes after the body.
+    for (const std::string late : {"Content-Length: 9", "Transfer-Encoding: identity"})
+    {
+        std::string text = chunks + late + "\r\n\r\n";
+        http_reader late_reader(http_reader::message_kind::request, message_limits{});
+        const read_state state = late_reader.read(text);
+        BOOST_TEST(
+            (state == read_state::malformed || late_reader.head().fields.size() == 2U),
+            late);
+    }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
