A status that promises is passed on only from who states that nothing ran (REFUSED)

Cause: 408, 429 and 503 of an endpoint were passed on although the answer doesn't state that nothing ran. Ruled out: a retry by the daemon (one send a request), an earlier refusal read twice (the ids match).

Fix: such an answer is a failed attempt that may have run: repeatable requests go on elsewhere, any other gets 502 without the endpoint's signature. Through a relay such a status counts only as the peer's own with the verdict not_run; a peer of an earlier release may pass an endpoint's on. Streams that begin or are resumed follow the same path.

Cost: a caller whose booking failed with such a 503 gets 502 and isn't asked to come back; repeatable requests gain an attempt after 408 and 429.

--- a/core/verdict.hpp
+++ b/core/verdict.hpp
@@ -22,6 +22,10 @@
 // Returns the name used on the wire: "not_run", "may_have_run" or "completed".
 std::string to_string(verdict value);
 
+// Returns true if callers take the HTTP status for the statement that the request didn't
+// run and never will.
+bool promises_not_run(int http_status);
+
 // Why a request failed, with what a caller needs to decide whether to retry.
 struct failure
 {
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -121,6 +121,8 @@
     // Ends an attempt at a peer that failed.
     void on_relay_failed(http_exchange& exchange, const std::string& reason,
                          bool may_have_run);
+    // Evaluates the head of the response of a peer. Returns false if the attempt ended.
+    bool accept_peer_response(http_exchange& exchange);
     // Relays the request to one more peer if the first one has refused it. Returns false
     // if it doesn't.
     bool try_another_peer(http_exchange& exchange);
--- a/servers/gateway/request_flow_relay.cpp
+++ b/servers/gateway/request_flow_relay.cpp
@@ -106,14 +106,29 @@
     dispatch_waiting();
 }
 
-bool request_flow::try_another_peer(http_exchange& exchange)
+bool request_flow::accept_peer_response(http_exchange& exchange)
 {
-    constexpr std::size_t max_relays = 2;
     const http_head& head = exchange.reader->head();
-    const bool has_not_run =
-        head.status == status_unavailable && !exchange.response.has_signature &&
+    const bool states_not_run =
+        !exchange.response.has_signature &&
         field_value(head, verdict_field) == to_string(verdict::not_run);
-    if (!has_not_run || exchange.failed_relays.size() >= max_relays ||
+    // A peer of an earlier release passes such a status of an endpoint on.
+    if (promises_not_run(head.status) && !states_not_run)
+    {
+        on_relay_failed(exchange,
+                        "the peer's status " + std::to_string(head.status) +
+                            " promises what its answer does not state",
+                        true);
+        return false;
+    }
+    return !try_another_peer(exchange);
+}
+
+bool request_flow::try_another_peer(http_exchange& exchange)
+{
+    constexpr std::size_t max_relays = 2;
+    if (exchange.reader->head().status != status_unavailable ||
+        exchange.failed_relays.size() >= max_relays ||
         !choose_relay(context_.fleet, request_hash(exchange), exchange.failed_relays,
                       context_.loop.now()))
         return false;
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -200,7 +200,7 @@
     exchange.timer = {};
     // A peer's response is what the caller gets; the peer has evaluated the endpoint's.
     if (exchange.is_relayed)
-        return !try_another_peer(exchange);
+        return accept_peer_response(exchange);
     record_connection_made(exchange);
     return accept_endpoint_response(exchange);
 }
@@ -244,6 +244,14 @@
         on_attempt_failed(exchange, "the stream was not resumed", true);
         return false;
     }
+    if (promises_not_run(status))
+    {
+        on_attempt_failed(exchange,
+                          "the endpoint's status " + std::to_string(status) +
+                              " promises what its answer does not state",
+                          true);
+        return false;
+    }
     if (status >= status_server_error &&
         exchange.possible_runs + 1 < exchange.matched_route->max_attempts &&
         may_retry(exchange))
--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -136,6 +136,57 @@
     }
 }
 
+// Guards against callers who send a booking again because an endpoint that ran it
+// answered with a status that promises the opposite (REFUSED, bookings made twice).
+BOOST_AUTO_TEST_CASE(
+    a_status_that_promises_what_its_endpoint_does_not_state_is_not_passed_on)
+{
+    for (const std::string status : {"503 Unavailable", "429 Many", "408 Timeout"})
+        for (const std::string& signature : {signature_field, std::string()})
+        {
+            const std::string answer =
+                make_response(status, signature + "Retry-After: 0.1\r\n", "ran");
+            for (const std::string path : {"/once/1", "/chat/1"})
+            {
+                flow_fixture test;
+                test.add_endpoints(path == "/chat/1" ? "assistant" : "plain");
+                test.first.scripts = {{answer}};
+                test.second.scripts = {{ok_response}};
+                const std::string response = test.send_request(path);
+                BOOST_TEST(response.starts_with("HTTP/1.1 502"), status << response);
+                BOOST_TEST(contains(response, "may_have_run"), status);
+                BOOST_TEST(!contains(response, "Server-Signature"), status);
+                BOOST_TEST(test.second.requests.empty(), status);
+            }
+            flow_fixture repeated;
+            repeated.add_endpoints("plain");
+            repeated.first.scripts = {{answer}};
+            repeated.second.scripts = {{ok_response}};
+            BOOST_TEST(repeated.send_request("/look/1").starts_with("HTTP/1.1 200"),
+                       status);
+        }
+}
+
+// As above, for a stream that its caller resumes and for one that has begun.
+BOOST_AUTO_TEST_CASE(a_resumed_stream_does_not_end_with_a_promise_that_nothing_ran)
+{
+    const std::string answer = make_response("503 Unavailable", signature_field, "ran");
+    flow_fixture test;
+    test.add_endpoints("assistant");
+    test.first.scripts = {{answer}};
+    test.second.scripts = {{answer}};
+    BOOST_TEST(test.send_request("/again/1", "Last-Event-Id: 3\r\nResumes: id-0\r\n")
+                   .starts_with("HTTP/1.1 502"));
+    flow_fixture begun;
+    begun.add_endpoints("assistant");
+    begun.first.scripts = {{stream_head + chunk("id: 1\ndata: a\n\n"), true}};
+    begun.second.scripts = {{answer}};
+    const std::string response = begun.send_request("/again/1");
+    BOOST_TEST(contains(response, "data: a"));
+    BOOST_TEST(!contains(response, "503"));
+    BOOST_TEST(!response.ends_with("0\r\n\r\n"));
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_with_unexpected_bytes_is_not_reused)
 {
     for (const std::string& bytes : {ok_response, ok_response + "HTTP/1.1 200 OK\r\n"})
--- a/tests/contract/relay_test.cpp
+++ b/tests/contract/relay_test.cpp
@@ -67,6 +67,21 @@
     BOOST_TEST(test.first.requests.size() == 1U);
 }
 
+// Guards against the same promise of a peer of an earlier release, which passes it on
+// from an endpoint (REFUSED).
+BOOST_AUTO_TEST_CASE(a_promise_that_an_endpoint_made_to_a_peer_is_not_passed_on)
+{
+    for (const std::string& signature : {signature_field, std::string()})
+    {
+        cut_off_fixture test;
+        test.first.scripts = {{make_response("503 Unavailable", signature, "ran")}};
+        const std::string response = test.send_request("/once/1");
+        BOOST_TEST(response.starts_with("HTTP/1.1 502"), response);
+        BOOST_TEST(contains(response, "may_have_run"));
+        BOOST_TEST(test.first.requests.size() == 1U);
+    }
+}
+
 // A peer that is lost may have had the request run: it isn't sent again, whatever its
 // route allows, because the peer may have used all attempts.
 BOOST_AUTO_TEST_CASE(a_request_whose_peer_is_lost_may_have_run)
