--- a/servers/gateway/request_flow_streams.cpp
+++ b/servers/gateway/request_flow_streams.cpp
@@ -63,7 +63,9 @@
     drop_upstream(exchange);
     exchange.possible_runs += was_sent ? 1 : 0;
     exchange.phase = exchange_phase::waiting;
-    const bool can_begin_again = !was_sent || may_retry(exchange);
+    // A peer that got the request may have recorded another version for it.
+    const bool can_begin_again =
+        exchange.failed_relays.empty() && (!was_sent || may_retry(exchange));
     if (base == context_.fleet.base_versions.end() || !can_begin_again ||
         !records_.withdraw(exchange.request.id))
         return refuse_or_fail(exchange, "stream_not_recorded",
