A planned stop refuses what still waits before it exits (LOST)

By reading: a request that waited for its adapter, a claim or a version when the grace period ended was dropped with the process. Its caller's connection ended without an answer.

Fix: 300 ms before the exit such requests are refused (503, not_run), or answered 502 if an earlier attempt may have run. Attempts in progress and streams go on until the exit as before.

Test: a_request_that_waits_at_the_end_of_a_planned_stop_is_refused, before the fix status 0 (the connection ended).

Cost: a request that waits in the last second of a stop is refused up to 300 ms sooner.

--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -58,6 +58,9 @@
 constexpr int grace_per_admission_time = 3;
 // Part of the grace period that is reserved for the exit of the process.
 constexpr milliseconds exit_reserve{700};
+// Time before the exit at which requests that still wait are refused, so that the
+// refusals are delivered.
+constexpr milliseconds refusal_reserve{300};
 constexpr std::size_t incarnation_bytes = 6;
 
 volatile std::sig_atomic_t stop_requested = 0;
@@ -692,9 +695,12 @@
         context_.loop.stop_listening();
         stopped_listening_ = true;
     }
+    const auto latest_exit = context_.settings.stop_grace - exit_reserve;
+    if (shutdown_duration > latest_exit - refusal_reserve)
+        flow_.refuse_waiting();
     const bool may_exit =
         (shutdown_duration > min_shutdown_duration && has_finished_requests()) ||
-        shutdown_duration > context_.settings.stop_grace - exit_reserve;
+        shutdown_duration > latest_exit;
     if (!may_exit)
         return false;
     // The loop's last flush sends the call that ends the lease.
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -53,6 +53,9 @@
     void dispatch_waiting();
     // Does so for the requests that wait for one of these adapters.
     void dispatch_waiting_for(const std::set<adapter_id>& adapters);
+    // Ends the requests that are with no endpoint, since the process is about to exit.
+    // Streams that have begun and attempts in progress go on.
+    void refuse_waiting();
     // Reacts to a change of the links to the endpoints: dispatches what waits, and ends
     // the attempts of a daemon that is cut off for which it can try something else.
     void on_links_changed();
--- a/servers/gateway/request_flow_completion.cpp
+++ b/servers/gateway/request_flow_completion.cpp
@@ -3,6 +3,7 @@
 #include "policy/fleet/wait_limits.hpp"
 
 #include <algorithm>
+#include <vector>
 
 namespace pollenhaven
 {
@@ -83,6 +84,21 @@
     remove_exchange(exchange);
 }
 
+void request_flow::refuse_waiting()
+{
+    std::vector<exchange_id> waiting;
+    for (const auto& [id, exchange] : exchanges_)
+        if (exchange.upstream.value == 0 && !response_has_begun(exchange))
+            waiting.push_back(exchange.id);
+    for (const exchange_id id : waiting)
+    {
+        const auto found = exchanges_.find(id.value);
+        if (found != exchanges_.end())
+            refuse_or_fail(found->second, "stopping",
+                           "the daemon exits before the request can be sent");
+    }
+}
+
 void request_flow::release_unused_claim(http_exchange& exchange, verdict execution)
 {
     if (exchange.phase == exchange_phase::claiming)
--- a/tests/process/kept_connections_test.cpp
+++ b/tests/process/kept_connections_test.cpp
@@ -382,6 +382,29 @@
     BOOST_TEST((caller.receive(seconds(5)) == request_end::answered));
 }
 
+// Guards against a request that still waits for its adapter when the process exits and
+// whose connection ends without an answer (LOST).
+BOOST_AUTO_TEST_CASE(a_request_that_waits_at_the_end_of_a_planned_stop_is_refused)
+{
+    fleet_options options = one_daemon();
+    options.grace_ms = 1900;
+    fleet deployment(options);
+    for (int engine = 0; engine < options.engines; ++engine)
+        deployment.signal_engine(engine, SIGSTOP);
+    std::thread stop(
+        [&]
+        {
+            std::this_thread::sleep_for(milliseconds(200));
+            deployment.daemon(0).signal(SIGTERM);
+        });
+    const http_response response = deployment.send_platform_chat(0, "waits", "a1");
+    stop.join();
+    for (int engine = 0; engine < options.engines; ++engine)
+        deployment.signal_engine(engine, SIGCONT);
+    BOOST_TEST(response.status == 503);
+    BOOST_TEST(response.body.find("not_run") != std::string::npos, response.body);
+}
+
 // Guards against whole requests that are dropped after a pause of the process: their
 // connections have passed their idle limit by then, and lie unread.
 BOOST_AUTO_TEST_CASE(requests_that_were_sent_during_a_pause_of_the_process_are_answered)
