What endpoints can make a daemon hold is bounded by the instance's memory (LOST)

Reported by another operator: a faulty worker sent bytes without end, and the machine that had called it ran out of memory.

Fix: a daemon counts what it holds of all responses of endpoints and peers, streams included. Beyond a tenth of the instance's memory (daemon.memory_mb, from the platform's limits) it ends the attempt with the largest one. Where it may be repeated the request goes elsewhere, else it gets 502; the endpoint's failure share rises.

Open: reports of engines and the store's responses have no common bound, nor have complete responses that callers don't read.

--- a/servers/gateway/http_exchange.hpp
+++ b/servers/gateway/http_exchange.hpp
@@ -5,6 +5,7 @@
 #include "policy/call_claim.hpp"
 #include "policy/fleet/event_stream.hpp"
 #include "policy/fleet/keeper_questions.hpp"
+#include "servers/gateway/counted_bytes.hpp"
 #include "servers/gateway/event_loop.hpp"
 #include "servers/gateway/http_reader.hpp"
 
@@ -113,6 +114,9 @@
     // The connection to the endpoint; 0 if no attempt is in progress.
     stream_id upstream;
     std::optional<http_reader> reader;
+    // What the daemon holds of the response of the present attempt; none if there is no
+    // attempt.
+    std::optional<counted_bytes> held_response;
     instant sent_at{};
     bool has_response_head = false;
     // True while the prompt is counted in the endpoint's pending prefill tokens.
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -333,6 +333,7 @@
                          ? exchange_phase::responding
                          : exchange_phase::sent;
     exchange.reader.emplace(http_reader::message_kind::response, message_limits{});
+    exchange.held_response.emplace(held_response_bytes_);
 }
 
 stream_handlers request_flow::upstream_handlers(exchange_id id)
@@ -392,6 +393,7 @@
         context_.loop.reset(exchange.upstream);
     exchange.upstream = {};
     exchange.reader.reset();
+    exchange.held_response.reset();
 }
 
 } // namespace pollenhaven
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -62,6 +62,9 @@
     // Returns true if a request waits for bytes of an endpoint.
     bool waits_for_endpoints() const;
     std::size_t requests_in_flight() const { return exchanges_.size(); }
+    // The bytes of responses that endpoints and peers have sent and that callers haven't
+    // been passed yet, over all requests.
+    std::size_t held_response_bytes() const { return held_response_bytes_; }
     // Dispatches the waiting requests that the endpoint may serve. Must be called when
     // more is known of the load there.
     void dispatch_waiting_at(const endpoint_id& endpoint);
@@ -141,6 +144,11 @@
     void drop_upstream(http_exchange& exchange);
 
     void on_upstream_readable(exchange_id id);
+    void read_upstream(http_exchange& exchange);
+    void count_held_response(http_exchange& exchange);
+    // Ends the attempts with the largest unfinished responses while all responses
+    // together take more memory than they may.
+    void limit_held_responses();
     void on_upstream_ended(exchange_id id, stream_end end);
     // Evaluates the head of an endpoint's response. Returns false if the attempt ended.
     bool process_response_head(http_exchange& exchange);
@@ -238,6 +246,7 @@
     endpoint_load_reports& loads_;
     load_request_handler request_load_;
     std::uint64_t next_id_ = 1;
+    std::size_t held_response_bytes_ = 0;
     std::unordered_map<std::uint64_t, http_exchange> exchanges_;
     std::unordered_map<std::uint64_t, exchange_id> by_caller_;
     std::map<service_id, retry_window> attempts_;
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -28,6 +28,10 @@
 // Limit on what an endpoint can make the daemon hold for one request: a response that is
 // passed on only when it is complete.
 constexpr std::size_t max_buffered_response_bytes = 8UL << 20U;
+// The part of the instance's memory that all responses together may take. Strings grow by
+// doubling, so they may occupy twice their size.
+constexpr std::size_t memory_per_held_responses = 10;
+constexpr std::size_t bytes_per_mb = 1UL << 20U;
 // Interim responses, and responses to earlier requests, that are skipped before the
 // response to a request.
 constexpr int max_discarded_responses = 8;
@@ -142,7 +146,49 @@
 
 void request_flow::on_upstream_readable(exchange_id id)
 {
-    http_exchange& exchange = exchanges_.at(id.value);
+    read_upstream(exchanges_.at(id.value));
+    const auto found = exchanges_.find(id.value);
+    if (found == exchanges_.end())
+        return;
+    count_held_response(found->second);
+    limit_held_responses();
+}
+
+void request_flow::count_held_response(http_exchange& exchange)
+{
+    if (!exchange.held_response || !context_.loop.is_open(exchange.upstream))
+        return;
+    const std::size_t unsent =
+        response_has_begun(exchange) ? context_.loop.pending_output(exchange.caller) : 0;
+    exchange.held_response->set(context_.loop.input(exchange.upstream).size() +
+                                exchange.reader->body.size() +
+                                exchange.partial_event.size() + unsent);
+}
+
+void request_flow::limit_held_responses()
+{
+    const std::size_t memory =
+        static_cast<std::size_t>(context_.settings.memory_mb) * bytes_per_mb;
+    // One response that is allowed always fits.
+    const std::size_t limit =
+        std::max(memory / memory_per_held_responses, max_buffered_response_bytes);
+    while (held_response_bytes_ > limit)
+    {
+        http_exchange* largest = nullptr;
+        for (auto& [id, exchange] : exchanges_)
+            if (exchange.held_response &&
+                (largest == nullptr ||
+                 exchange.held_response->value() > largest->held_response->value()))
+                largest = &exchange;
+        if (largest == nullptr)
+            return;
+        context_.metrics.add("pollenhaven_responses_given_up_for_memory_total");
+        on_attempt_failed(*largest, "the endpoints' answers take too much memory", true);
+    }
+}
+
+void request_flow::read_upstream(http_exchange& exchange)
+{
     if (!exchange.is_relayed)
         context_.links.last_heard_at = context_.loop.now();
     std::string& input = context_.loop.input(exchange.upstream);
--- a/servers/gateway/request_flow_streams.cpp
+++ b/servers/gateway/request_flow_streams.cpp
@@ -168,6 +168,7 @@
     if (found == exchanges_.end() || !found->second.is_paused)
         return;
     http_exchange& exchange = found->second;
+    count_held_response(exchange);
     if (context_.loop.pending_output(exchange.caller) > max_unread_stream_bytes / 2)
     {
         context_.loop.schedule_after(caller_progress_interval,
--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -564,6 +564,67 @@
     }
 }
 
+// Guards against a daemon that runs out of memory because a faulty endpoint answers many
+// requests with endless bytes at once, and with it the requests of all others (LOST).
+BOOST_AUTO_TEST_CASE(
+    endless_bytes_in_many_responses_stay_within_the_memory_of_the_instance)
+{
+    constexpr int callers = 50;
+    constexpr int bytes_per_mb = 1 << 20;
+    struct endless_case
+    {
+        const char* path;
+        const char* status;
+        const char* expected;
+    };
+    for (const endless_case& row :
+         std::vector<endless_case>{{"/look/1", "200 OK", "HTTP/1.1 200"},
+                                   {"/once/1", "500 Error", "HTTP/1.1 502"}})
+    {
+        flow_fixture test;
+        test.context.settings.memory_mb = 160;
+        test.add_endpoints("plain");
+        for (auto& [id, view] : test.context.fleet.endpoints)
+            view.record.slots = callers;
+        test.first.scripts = {{"HTTP/1.1 " + std::string(row.status) +
+                                   "\r\nX-Pollenhaven-Request-Id: ID\r\n" +
+                                   signature_field + "\r\n",
+                               false, false, false, "body"}};
+        test.second.scripts = {{ok_response}};
+        std::map<std::uint64_t, std::string> responses;
+        for (int number = 0; number < callers; ++number)
+        {
+            stream_handlers handlers;
+            handlers.readable = [&](stream_id id)
+            { responses[id.value] += std::exchange(test.context.loop.input(id), ""); };
+            const stream_id caller = test.context.loop.connect(test.address, handlers);
+            test.context.loop.send(
+                caller, "POST " + std::string(row.path) +
+                            " HTTP/1.1\r\nHost: h\r\nX-Pollenhaven-Request-Id: id-" +
+                            std::to_string(number) + "\r\nContent-Length: 4\r\n\r\nbody");
+        }
+        std::size_t most_held = 0;
+        test.run_until(
+            [&]
+            {
+                most_held = std::max(most_held, test.flow.held_response_bytes());
+                return responses.size() == callers;
+            },
+            seconds(2));
+        BOOST_TEST(test.first.requests.size() >= callers / 2);
+        BOOST_TEST(most_held <= 17 * bytes_per_mb, most_held);
+        BOOST_TEST(test.flow.held_response_bytes() <= 16 * bytes_per_mb);
+        // Those that the other endpoint got are served.
+        int answered = 0;
+        for (const auto& [id, response] : responses)
+            answered +=
+                response.starts_with(row.expected) || response.starts_with("HTTP/1.1 200")
+                    ? 1
+                    : 0;
+        BOOST_TEST(answered == callers, row.path << ": " << answered << " answered");
+    }
+}
+
 // Guards against a daemon that runs out of memory because an endpoint sends a stream
 // faster than its caller reads it, here without end.
 BOOST_AUTO_TEST_CASE(a_stream_is_read_no_faster_than_its_caller_reads_it)
