--- a/tests/process/checks.hpp
+++ b/tests/process/checks.hpp
@@ -36,6 +36,24 @@
     return holders;
 }
 
+// Returns the holders of all engines as daemon 0 knows them, once it knows all of them.
+inline std::map<std::string, std::string> settled_holders(const fleet& deployment,
+                                                          int engines)
+{
+    std::map<std::string, std::string> holders;
+    const bool is_settled = fleet::wait_for(
+        [&]
+        {
+            holders = holders_by_engine(deployment, 0);
+            return static_cast<int>(holders.size()) == engines &&
+                   std::none_of(holders.begin(), holders.end(),
+                                [](const auto& entry) { return entry.second.empty(); });
+        },
+        std::chrono::seconds(15));
+    BOOST_REQUIRE(is_settled);
+    return holders;
+}
+
 // Sends a short chat on an adapter of the base model. Returns true if it was served.
 inline bool serves_adapter(const fleet& deployment, int daemon,
                            const std::string& adapter)
--- a/tests/process/orders_test.cpp
+++ b/tests/process/orders_test.cpp
@@ -4,7 +4,6 @@
 #define BOOST_TEST_MODULE orders
 #include "tests/process/checks.hpp"
 
-#include <algorithm>
 #include <csignal>
 #include <thread>
 
@@ -36,23 +35,6 @@
     return std::stoi(id.substr(id.find('-') + 1));
 }
 
-// Returns the holders of all engines as daemon 0 knows them, once it knows all of them.
-std::map<std::string, std::string> settled_holders(const fleet& deployment, int engines)
-{
-    std::map<std::string, std::string> holders;
-    const bool is_settled = fleet::wait_for(
-        [&]
-        {
-            holders = holders_by_engine(deployment, 0);
-            return static_cast<int>(holders.size()) == engines &&
-                   std::none_of(holders.begin(), holders.end(),
-                                [](const auto& entry) { return entry.second.empty(); });
-        },
-        seconds(15));
-    BOOST_REQUIRE(is_settled);
-    return holders;
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(a_holder_paused_past_its_lease_breaks_no_guarantees)
--- a/tests/process/store_restore_test.cpp
+++ b/tests/process/store_restore_test.cpp
@@ -125,8 +125,8 @@
     fleet deployment;
     save_copy(deployment);
     make_changes(deployment, 6);
-    const std::map<std::string, std::string> first = holders_by_engine(deployment, 0);
-    const std::string holder = first.begin()->second;
+    const std::string holder =
+        settled_holders(deployment, fleet_options().engines).begin()->second;
     const int killed = holder.back() - '0';
     const int observer = killed == 0 ? 1 : 0;
     deployment.daemon(killed).kill();
