daemon.memory_mb may be a fraction

An instance whose memory the platform states as a fraction would have had its settings refused at the start. Read as any number from 1 MB; by reading, no test of its own.

--- a/servers/gateway/gateway_settings.cpp
+++ b/servers/gateway/gateway_settings.cpp
@@ -13,10 +13,8 @@
 {
     settings.id = {reader.required_text("id")};
     settings.zone = reader.required_text("zone");
-    constexpr long long min_memory_mb = 32;
-    constexpr long long max_memory_mb = 1'000'000;
-    settings.memory_mb = static_cast<int>(
-        reader.number("memory_mb", settings.memory_mb, min_memory_mb, max_memory_mb));
+    constexpr double max_memory_mb = 1e6;
+    settings.memory_mb = reader.real("memory_mb", settings.memory_mb, 1, max_memory_mb);
     settings.dialect = reader.text("dialect", settings.dialect);
     settings.caller_interface =
         reader.text("caller_interface", settings.caller_interface);
--- a/servers/gateway/gateway_settings.hpp
+++ b/servers/gateway/gateway_settings.hpp
@@ -20,7 +20,7 @@
     daemon_id id;
     std::string zone;
     // The memory that this process may use, in MB.
-    int memory_mb = 160;
+    double memory_mb = 160;
     network_address caller_address;
     network_address readiness_address;
     // Address at which callers fetch the list of daemon addresses.
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -30,8 +30,8 @@
 constexpr std::size_t max_buffered_response_bytes = 8UL << 20U;
 // The part of the instance's memory that all responses together may take. Strings grow by
 // doubling, so they may occupy twice their size.
-constexpr std::size_t memory_per_held_responses = 10;
-constexpr std::size_t bytes_per_mb = 1UL << 20U;
+constexpr double memory_per_held_responses = 10;
+constexpr double bytes_per_mb = 1 << 20U;
 // Interim responses, and responses to earlier requests, that are skipped before the
 // response to a request.
 constexpr int max_discarded_responses = 8;
@@ -167,11 +167,10 @@
 
 void request_flow::limit_held_responses()
 {
-    const std::size_t memory =
-        static_cast<std::size_t>(context_.settings.memory_mb) * bytes_per_mb;
+    const std::size_t share = static_cast<std::size_t>(
+        context_.settings.memory_mb * bytes_per_mb / memory_per_held_responses);
     // One response that is allowed always fits.
-    const std::size_t limit =
-        std::max(memory / memory_per_held_responses, max_buffered_response_bytes);
+    const std::size_t limit = std::max(share, max_buffered_response_bytes);
     while (held_response_bytes_ > limit)
     {
         http_exchange* largest = nullptr;
