--- a/policy/fleet/stream_origin.cpp
+++ b/policy/fleet/stream_origin.cpp
@@ -118,12 +118,19 @@
     return version != base->version || has_just_changed;
 }
 
-bool may_begin_without_record(const fleet_view& fleet, const service_id& service,
-                              const software_version& version, instant now)
+late_record_action choose_late_record_action(const fleet_view& fleet,
+                                             const service_id& service,
+                                             const late_record& late, instant now)
 {
     const base_version* const base = find_base(fleet, service);
-    return base != nullptr && (version == base->version ||
-                               !is_version_serving(fleet, service, base->version, now));
+    if (base == nullptr)
+        return late_record_action::end;
+    if (late.version == base->version ||
+        !is_version_serving(fleet, service, base->version, now))
+        return late_record_action::pass_on;
+    return late.may_be_written || !late.may_send_again
+               ? late_record_action::end
+               : late_record_action::begin_at_base;
 }
 
 std::optional<software_version> version_for_new_stream(const fleet_view& fleet,
--- a/policy/fleet/stream_origin.hpp
+++ b/policy/fleet/stream_origin.hpp
@@ -56,6 +56,29 @@
     bool is_conclusive = false;
 };
 
+// A stream of which the store hasn't confirmed the record in time. No event of it has
+// been passed on.
+struct late_record
+{
+    // The version at which it was about to begin.
+    software_version version;
+    // A write of the record was sent, or a peer got the request, so a record may still
+    // appear.
+    bool may_be_written = false;
+    // The attempts that its route allows aren't used up.
+    bool may_send_again = false;
+};
+
+enum class late_record_action
+{
+    // The stream begins without its record.
+    pass_on,
+    // The stream begins at the base version instead.
+    begin_at_base,
+    // The request ends. Its caller can send another one, which has another id.
+    end
+};
+
 struct stream_origin
 {
     origin_source source = origin_source::unknown;
@@ -76,10 +99,12 @@
 bool needs_record(const fleet_view& fleet, const service_id& service,
                   const software_version& version, instant now);
 
-// Returns true if a stream may begin at this version although its record isn't known to
-// be in the store: nobody takes it for a stream of another version that serves.
-bool may_begin_without_record(const fleet_view& fleet, const service_id& service,
-                              const software_version& version, instant now);
+// Returns what becomes of a stream whose record is late. It begins without the record
+// only if no other version can be taken for its own: it is at the base version, or no
+// engine of the base version serves.
+late_record_action choose_late_record_action(const fleet_view& fleet,
+                                             const service_id& service,
+                                             const late_record& late, instant now);
 
 // Returns the version to which a new stream is restricted: the base version if the store,
 // silent for the time `store_silence`, may not take a record and engines of that version
--- a/policy/fleet/zone_relay.hpp
+++ b/policy/fleet/zone_relay.hpp
@@ -9,9 +9,9 @@
 namespace pollenhaven
 {
 
-// A message for all daemons crosses to each other availability zone once, to one member
-// that relays it there. Another message gets other relays, so one that stands still loses
-// only a part of them, and relaying is spread over all.
+// A message to all daemons is sent to each other availability zone once: to one member,
+// which relays it to the rest of its zone. The relay changes with each message. So the
+// work is spread over all members, and a relay that is paused delays only few messages.
 
 // The version of the messages between daemons that this release sends. Daemons from
 // version 2 on relay messages.
@@ -24,8 +24,8 @@
     std::vector<daemon_id> relays;
 };
 
-// Returns the receivers of a message for all. Messages with different keys get different
-// relays. Zones of which no member can relay get it directly.
+// Returns the receivers of a message to all daemons. The key of the message selects the
+// relays. If no member of a zone can relay, all members of the zone get it directly.
 relay_plan plan_relays(const fleet_view& fleet, const std::string& key, instant now);
 
 // Returns the peers to which this daemon relays a message of `sender`.
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -624,7 +624,8 @@
 
 gateway_activity gateway::current_activity() const
 {
-    return {flow_.requests_in_flight(), caller_server_.connections()};
+    return {flow_.requests_in_flight(), caller_server_.connections(),
+            flow_.held_response_bytes()};
 }
 
 void gateway::handle_operator_request(stream_id caller, const http_head& head)
--- a/servers/gateway/gateway_reports.cpp
+++ b/servers/gateway/gateway_reports.cpp
@@ -101,6 +101,8 @@
     metrics.set("pollenhaven_requests_under_way", static_cast<double>(activity.requests));
     metrics.set("pollenhaven_caller_connections",
                 static_cast<double>(activity.caller_connections));
+    metrics.set("pollenhaven_held_response_bytes",
+                static_cast<double>(activity.held_response_bytes));
     metrics.set("pollenhaven_ready", is_ready(context) ? 1 : 0);
     metrics.set("pollenhaven_members", live_member_count(context.fleet));
     metrics.set("pollenhaven_store_silence_seconds", to_seconds(store_silence(context)));
--- a/servers/gateway/gateway_reports.hpp
+++ b/servers/gateway/gateway_reports.hpp
@@ -10,11 +10,13 @@
 namespace pollenhaven
 {
 
-// Requests in flight and open connections of a daemon.
+// What a daemon has in progress.
 struct gateway_activity
 {
     std::size_t requests = 0;
     std::size_t caller_connections = 0;
+    // Bytes of unfinished responses.
+    std::size_t held_response_bytes = 0;
 };
 
 // Updates the gauges that are computed only when the metrics are read.
--- a/servers/gateway/http_reader.cpp
+++ b/servers/gateway/http_reader.cpp
@@ -15,8 +15,11 @@
     std::optional<http::request_parser<http::string_body>> request;
     std::optional<http::response_parser<http::string_body>> response;
 
-    http::basic_parser<true>& as_request() { return *request; }
-    http::basic_parser<false>& as_response() { return *response; }
+    // Calls the function with the parser of the message's kind.
+    template <class Function> auto apply(Function function)
+    {
+        return request ? function(*request) : function(*response);
+    }
 };
 
 namespace
@@ -97,9 +100,35 @@
                        { return contains_status_line(field.value); });
 }
 
-template <class Parser> read_state state_of(const Parser& parser)
+// Returns true if the fields of a message of this HTTP version (11 for HTTP/1.1) leave no
+// doubt about the end of its body (RFC 9112, 6.1 to 6.3). `chunked` is the only transfer
+// coding that is understood.
+bool has_certain_length(const http_head& head, unsigned version)
+{
+    constexpr unsigned http_1_1 = 11;
+    int codings = 0;
+    int lengths = 0;
+    for (const http_field& field : head.fields)
+    {
+        const bool is_length = same_field_name(field.name, "Content-Length");
+        const bool is_coding = same_field_name(field.name, "Transfer-Encoding");
+        if (is_length && !std::all_of(field.value.begin(), field.value.end(), is_digit))
+            return false;
+        if (is_coding && !same_field_name(field.value, "chunked"))
+            return false;
+        lengths += is_length ? 1 : 0;
+        codings += is_coding ? 1 : 0;
+    }
+    return codings == 0 ? lengths <= 1
+                        : codings == 1 && lengths == 0 && version == http_1_1;
+}
+
+read_error to_read_error(const boost::beast::error_code& error)
 {
-    return parser.is_done() ? read_state::complete : read_state::partial;
+    if (error == http::error::body_limit)
+        return read_error::body_too_large;
+    return error == http::error::header_limit ? read_error::head_too_large
+                                              : read_error::bad_message;
 }
 
 } // namespace
@@ -115,98 +144,67 @@
 
 bool http_reader::is_done() const
 {
-    return parser_->request ? parser_->request->is_done() : parser_->response->is_done();
+    return parser_->apply([](const auto& active) { return active.is_done(); });
 }
 
 http_reader::~http_reader() = default;
 http_reader::http_reader(http_reader&&) noexcept = default;
 http_reader& http_reader::operator=(http_reader&&) noexcept = default;
 
-void http_reader::take_head()
+read_error http_reader::take_head()
 {
     has_head_ = true;
+    const unsigned version = parser_->apply(
+        [this](const auto& active)
+        {
+            copy_fields(active.get(), head_);
+            return active.get().version();
+        });
     if (parser_->request)
     {
-        const auto& message = parser_->request->get();
-        head_.method = std::string(message.method_string());
-        head_.target = std::string(message.target());
-        copy_fields(message, head_);
-        return;
+        head_.method = std::string(parser_->request->get().method_string());
+        head_.target = std::string(parser_->request->get().target());
     }
-    const auto& message = parser_->response->get();
-    head_.status = static_cast<int>(message.result_int());
-    copy_fields(message, head_);
-}
-
-int http_reader::parse(std::string& input)
-{
-    return parser_->request ? feed(*parser_->request, input, body).value()
-                            : feed(*parser_->response, input, body).value();
-}
-
-bool http_reader::has_sound_framing() const
-{
-    constexpr unsigned http_1_1 = 11;
-    const unsigned version = parser_->request ? parser_->request->get().version()
-                                              : parser_->response->get().version();
-    std::size_t codings = 0;
-    std::size_t lengths = 0;
-    bool is_chunked = false;
-    for (const http_field& field : head_.fields)
+    else
     {
-        if (same_field_name(field.name, "Content-Length"))
-        {
-            ++lengths;
-            if (!std::all_of(field.value.begin(), field.value.end(), is_digit))
-                return false;
-        }
-        if (!same_field_name(field.name, "Transfer-Encoding"))
-            continue;
-        ++codings;
-        is_chunked = same_field_name(field.value, "chunked");
+        const auto& response = parser_->response->get();
+        head_.status = static_cast<int>(response.result_int());
+        if (contains_other_response(std::string(response.reason()), head_))
+            return read_error::bad_message;
     }
-    if (codings == 0)
-        return lengths <= 1;
-    return codings == 1 && is_chunked && lengths == 0 && version == http_1_1;
+    return has_certain_length(head_, version) ? read_error::none
+                                              : read_error::ambiguous_length;
 }
 
-read_state http_reader::fail(int error_value)
+read_state http_reader::fail(read_error error)
 {
-    error_ = read_error::bad_message;
-    if (error_value == static_cast<int>(http::error::body_limit))
-        error_ = read_error::body_too_large;
-    if (error_value == static_cast<int>(http::error::header_limit))
-        error_ = read_error::head_too_large;
+    error_ = error;
     return read_state::malformed;
 }
 
 read_state http_reader::read(std::string& input)
 {
-    int error = parse(input);
-    const bool head_done = parser_->request ? parser_->request->is_header_done()
-                                            : parser_->response->is_header_done();
+    const auto parse = [&]
+    { return parser_->apply([&](auto& active) { return feed(active, input, body); }); };
+    boost::beast::error_code error = parse();
+    const bool head_done =
+        parser_->apply([](const auto& active) { return active.is_header_done(); });
     if (head_done && !has_head_)
     {
-        take_head();
-        if (parser_->response &&
-            contains_other_response(std::string(parser_->response->get().reason()),
-                                    head_))
-            return fail(static_cast<int>(http::error::bad_reason));
-        if (!has_sound_framing())
-        {
-            error_ = read_error::bad_framing;
-            return read_state::malformed;
-        }
-        if (error == 0)
-            error = parse(input);
+        const read_error head_error = take_head();
+        if (head_error != read_error::none)
+            return fail(head_error);
+        if (!error)
+            error = parse();
     }
     has_body_ = has_body_ || !body.empty();
-    if (error != 0)
-        return fail(error);
+    if (error)
+        return fail(to_read_error(error));
+    if (is_done())
+        return read_state::complete;
     // What is left of the input is an incomplete head, chunk head or trailer.
-    if (input.size() > max_line_bytes_ && !is_done())
-        return fail(static_cast<int>(http::error::header_limit));
-    return parser_->request ? state_of(*parser_->request) : state_of(*parser_->response);
+    return input.size() > max_line_bytes_ ? fail(read_error::head_too_large)
+                                          : read_state::partial;
 }
 
 read_state http_reader::finish()
@@ -215,7 +213,9 @@
     if (!parser_->response || !has_head_)
         return read_state::malformed;
     parser_->response->put_eof(error);
-    return error ? read_state::malformed : state_of(*parser_->response);
+    if (error)
+        return read_state::malformed;
+    return is_done() ? read_state::complete : read_state::partial;
 }
 
 bool http_reader::has_length() const
@@ -225,9 +225,8 @@
 
 std::size_t http_reader::content_length() const
 {
-    if (parser_->request)
-        return parser_->request->content_length().value_or(0);
-    return parser_->response->content_length().value_or(0);
+    return parser_->apply([](const auto& active)
+                          { return active.content_length().value_or(0); });
 }
 
 } // namespace pollenhaven
--- a/servers/gateway/http_reader.hpp
+++ b/servers/gateway/http_reader.hpp
@@ -25,8 +25,8 @@
     none,
     bad_message,
     // The fields that give the length of the body contradict each other or can't be
-    // understood (RFC 9112, 6.1 to 6.3).
-    bad_framing,
+    // understood.
+    ambiguous_length,
     body_too_large,
     head_too_large
 };
@@ -79,12 +79,9 @@
 private:
     struct parser;
 
-    // Parses input up to the end of the head, or of the message once the head is known.
-    // Returns an error of the parser, or 0.
-    int parse(std::string& input);
-    void take_head();
-    bool has_sound_framing() const;
-    read_state fail(int error_value);
+    // Copies the parsed head. Returns what is wrong with it.
+    read_error take_head();
+    read_state fail(read_error error);
     bool is_done() const;
 
     std::unique_ptr<parser> parser_;
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -247,7 +247,7 @@
     if (reader.error() == read_error::body_too_large)
         return send_error(id, not_run_failure(status_too_large, "body_too_large",
                                               "the request's body exceeds the limit"));
-    if (reader.error() == read_error::bad_framing)
+    if (reader.error() == read_error::ambiguous_length)
     {
         context_.log.write("request refused unread", {{"reason", "ambiguous_length"}});
         return send_error(
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -78,9 +78,12 @@
     // Has the version of a new stream recorded, if it needs a record.
     void record_stream_version(http_exchange& exchange, const endpoint_record& endpoint);
     void on_stream_recorded(exchange_id id, bool is_recorded);
-    // Begins a stream whose record is late at the base version instead. If that isn't
-    // possible, the request ends, and its caller can send another one.
+    late_record_action action_for_late_record(const http_exchange& exchange) const;
+    // Ends the attempt and sends the request to an endpoint of the base version.
     void begin_at_base_version(http_exchange& exchange);
+    // Gives the request the time for another attempt. Another engine may have to load the
+    // adapter first.
+    void extend_wait(http_exchange& exchange) const;
     // Keeps to the version of the present attempt, whose response begins the stream.
     void remember_stream_version(http_exchange& exchange);
     void claim_idempotency_key(http_exchange& exchange);
--- a/servers/gateway/request_flow_responses.cpp
+++ b/servers/gateway/request_flow_responses.cpp
@@ -1,6 +1,7 @@
 #include "servers/gateway/request_flow.hpp"
 
 #include "policy/fleet/event_stream.hpp"
+#include "policy/fleet/response_memory.hpp"
 #include "policy/fleet/wait_limits.hpp"
 #include "servers/gateway/load_observations.hpp"
 
@@ -25,13 +26,6 @@
 // for this request. Up to two refusals can be due to a load that took longer than
 // expected.
 constexpr int max_adapter_refusals = 3;
-// Limit on what an endpoint can make the daemon hold for one request: a response that is
-// passed on only when it is complete.
-constexpr std::size_t max_buffered_response_bytes = 8UL << 20U;
-// The part of the instance's memory that all responses together may take. Strings grow by
-// doubling, so they may occupy twice their size.
-constexpr double memory_per_held_responses = 10;
-constexpr double bytes_per_mb = 1 << 20U;
 // Interim responses, and responses to earlier requests, that are skipped before the
 // response to a request.
 constexpr int max_discarded_responses = 8;
@@ -154,38 +148,6 @@
     limit_held_responses();
 }
 
-void request_flow::count_held_response(http_exchange& exchange)
-{
-    if (!exchange.held_response || !context_.loop.is_open(exchange.upstream))
-        return;
-    const std::size_t unsent =
-        response_has_begun(exchange) ? context_.loop.pending_output(exchange.caller) : 0;
-    exchange.held_response->set(context_.loop.input(exchange.upstream).size() +
-                                exchange.reader->body.size() +
-                                exchange.partial_event.size() + unsent);
-}
-
-void request_flow::limit_held_responses()
-{
-    const std::size_t share = static_cast<std::size_t>(
-        context_.settings.memory_mb * bytes_per_mb / memory_per_held_responses);
-    // One response that is allowed always fits.
-    const std::size_t limit = std::max(share, max_buffered_response_bytes);
-    while (held_response_bytes_ > limit)
-    {
-        http_exchange* largest = nullptr;
-        for (auto& [id, exchange] : exchanges_)
-            if (exchange.held_response &&
-                (largest == nullptr ||
-                 exchange.held_response->value() > largest->held_response->value()))
-                largest = &exchange;
-        if (largest == nullptr)
-            return;
-        context_.metrics.add("pollenhaven_responses_given_up_for_memory_total");
-        on_attempt_failed(*largest, "the endpoints' answers take too much memory", true);
-    }
-}
-
 void request_flow::read_upstream(http_exchange& exchange)
 {
     if (!exchange.is_relayed)
@@ -203,7 +165,7 @@
         const bool is_complete = state == read_state::complete;
         if (exchange.discards_response)
             exchange.reader->body.clear();
-        if (exchange.reader->body.size() > max_buffered_response_bytes)
+        if (exchange.reader->body.size() > max_response_bytes)
             return on_attempt_failed(exchange, "the endpoint's answer is too long", true);
         if (is_complete && exchange.discards_response)
         {
@@ -476,19 +438,23 @@
         if (!other.endpoint && !other.needs_permit && !may_wait)
             return fail(exchange, status_bad_gateway, "endpoint_failed", reason);
     }
-    // Another engine may have to load the adapter first, so the wait deadline is
-    // extended.
-    exchange.wait_deadline =
-        std::max(exchange.wait_deadline,
-                 now + max_wait_time(*exchange.matched_route,
-                                     to_milliseconds(exchange.deadline - now)));
+    extend_wait(exchange);
     // The caller of a stream waits for the next event.
     if (response_has_begun(exchange))
         exchange.wait_deadline =
             std::max(exchange.wait_deadline,
                      exchange.last_chunk_at + abandonment_time(*exchange.matched_route));
-    exchange.load_requested_at = {};
     wait_for_endpoint(exchange);
 }
 
+void request_flow::extend_wait(http_exchange& exchange) const
+{
+    const instant now = context_.loop.now();
+    exchange.wait_deadline =
+        std::max(exchange.wait_deadline,
+                 now + max_wait_time(*exchange.matched_route,
+                                     to_milliseconds(exchange.deadline - now)));
+    exchange.load_requested_at = {};
+}
+
 } // namespace pollenhaven
--- a/servers/gateway/request_flow_streams.cpp
+++ b/servers/gateway/request_flow_streams.cpp
@@ -44,10 +44,13 @@
     if (found == exchanges_.end())
         return;
     http_exchange& exchange = found->second;
-    if (!is_recorded &&
-        !may_begin_without_record(context_.fleet, exchange.service, *exchange.software,
-                                  context_.loop.now()))
+    const late_record_action action =
+        is_recorded ? late_record_action::pass_on : action_for_late_record(exchange);
+    if (action == late_record_action::begin_at_base)
         return begin_at_base_version(exchange);
+    if (action == late_record_action::end)
+        return refuse_or_fail(exchange, "stream_not_recorded",
+                              "the software version of the stream can't be recorded");
     exchange.record_pending = false;
     const bool has_answer = exchange.phase == exchange_phase::sent &&
                             exchange.has_response_head && !exchange.discards_response;
@@ -55,29 +58,31 @@
         relay(exchange, exchange.held_end);
 }
 
-void request_flow::begin_at_base_version(http_exchange& exchange)
+late_record_action
+request_flow::action_for_late_record(const http_exchange& exchange) const
 {
-    const auto base = context_.fleet.base_versions.find(exchange.service);
+    late_record late;
+    late.version = *exchange.software;
+    // A peer that got the request may have recorded another version for it.
+    late.may_be_written =
+        records_.may_be_written(exchange.request.id) || !exchange.failed_relays.empty();
     const bool was_sent = exchange.phase == exchange_phase::sent;
+    late.may_send_again =
+        !was_sent || (may_retry(exchange) &&
+                      exchange.possible_runs + 1 < exchange.matched_route->max_attempts);
+    return choose_late_record_action(context_.fleet, exchange.service, late,
+                                     context_.loop.now());
+}
+
+void request_flow::begin_at_base_version(http_exchange& exchange)
+{
     log_event(exchange, "record late", "");
+    exchange.possible_runs += exchange.phase == exchange_phase::sent ? 1 : 0;
     drop_upstream(exchange);
-    exchange.possible_runs += was_sent ? 1 : 0;
-    exchange.phase = exchange_phase::waiting;
-    // A peer that got the request may have recorded another version for it.
-    const bool can_begin_again =
-        exchange.failed_relays.empty() && (!was_sent || may_retry(exchange));
-    if (base == context_.fleet.base_versions.end() || !can_begin_again ||
-        !records_.withdraw(exchange.request.id))
-        return refuse_or_fail(exchange, "stream_not_recorded",
-                              "the software version of the stream can't be recorded");
-    exchange.software = base->second.version;
+    records_.withdraw(exchange.request.id);
+    exchange.software = context_.fleet.base_versions.at(exchange.service).version;
     exchange.record_pending = false;
-    const instant now = context_.loop.now();
-    exchange.wait_deadline =
-        std::max(exchange.wait_deadline,
-                 now + max_wait_time(*exchange.matched_route,
-                                     to_milliseconds(exchange.deadline - now)));
-    exchange.load_requested_at = {};
+    extend_wait(exchange);
     wait_for_endpoint(exchange);
 }
 
--- a/servers/gateway/store_sync.cpp
+++ b/servers/gateway/store_sync.cpp
@@ -133,12 +133,10 @@
 void store_sync::on_chunk(const sync_chunk_message& chunk)
 {
     const auto found = watches_.find(chunk.prefix);
-    if (found == watches_.end())
+    if (found == watches_.end() ||
+        chunk.response_position <= found->second.known_position)
         return;
     synced_watch& synced = found->second;
-    if (chunk.response_position <= synced.known_position ||
-        chunk.response_position <= synced.watch->known_position())
-        return;
     if (chunk.response_position != synced.response_position)
     {
         synced.response_position = chunk.response_position;
--- a/servers/gateway/stream_records.cpp
+++ b/servers/gateway/stream_records.cpp
@@ -12,6 +12,8 @@
 {
 
 constexpr int status_ok = 200;
+// The store states with it that nothing was done.
+constexpr int status_unavailable = 503;
 constexpr milliseconds call_timeout{900};
 constexpr milliseconds retry_interval{100};
 // A stream waits for its record up to this long. Callers give a stream up after a gap
@@ -67,18 +69,14 @@
         return;
     store_transaction transaction;
     std::vector<pending_record> batch;
-    // A batch without an answer is repeated alone, so that the other records stay unsent
-    // and can be withdrawn.
-    const bool is_repeated = !pending_.empty() && pending_.front().was_sent;
+    // Records that may be written already are repeated alone, so that the others stay
+    // unsent and can be withdrawn.
+    const bool is_repeated = !pending_.empty() && may_be_written(pending_.front().stream);
     while (!pending_.empty() && batch.size() < max_batch_entries &&
-           pending_.front().was_sent == is_repeated)
+           may_be_written(pending_.front().stream) == is_repeated)
     {
         batch.push_back(std::move(pending_.front()));
         pending_.pop_front();
-        batch.back().was_sent = true;
-        const auto known = known_.find(batch.back().stream);
-        if (known != known_.end())
-            known->second.was_sent = true;
         transaction.writes.push_back(
             {stream_record_key(batch.back().stream),
              encode_record(batch.back().stream, batch.back().version), 0});
@@ -90,11 +88,30 @@
         removals_.pop_front();
     }
     transaction.removals = removals;
+    set_may_be_written(batch, true);
     write_in_progress_ = true;
     last_write_ = context_.loop.now();
     writer_.call(context_.dialect.transaction_call(transaction), call_timeout,
-                 [this, batch, removals](const http_result& result)
-                 { on_batch_written(batch, removals, result); });
+                 [this, batch, removals, is_repeated](const http_result& result)
+                 {
+                     const bool is_undone =
+                         result.not_sent ||
+                         (result.has_response && result.status == status_unavailable);
+                     if (is_undone && !is_repeated)
+                         set_may_be_written(batch, false);
+                     on_batch_written(batch, removals, result);
+                 });
+}
+
+void stream_records::set_may_be_written(const std::vector<pending_record>& batch,
+                                        bool value)
+{
+    for (const pending_record& entry : batch)
+    {
+        const auto known = known_.find(entry.stream);
+        if (known != known_.end())
+            known->second.may_be_written = value;
+    }
 }
 
 void stream_records::on_batch_written(const std::vector<pending_record>& batch,
@@ -135,22 +152,24 @@
         context_.log.write("stream record late",
                            {{"request", entry.stream.value},
                             {"software", entry.version.value},
-                            {"sent", std::int64_t{entry.was_sent}}});
+                            {"sent", std::int64_t{may_be_written(entry.stream)}}});
         released.push_back(std::exchange(entry.done, nullptr));
     }
     for (const recorded_handler& done : released)
         done(false);
 }
 
-bool stream_records::withdraw(const request_id& stream)
+bool stream_records::may_be_written(const request_id& stream) const
 {
     const auto known = known_.find(stream);
-    if (known == known_.end() || known->second.was_sent)
-        return false;
-    known_.erase(known);
+    return known != known_.end() && known->second.may_be_written;
+}
+
+void stream_records::withdraw(const request_id& stream)
+{
+    known_.erase(stream);
     std::erase_if(pending_,
                   [&](const pending_record& entry) { return entry.stream == stream; });
-    return true;
 }
 
 void stream_records::remember(const request_id& stream, const software_version& version)
--- a/servers/gateway/stream_records.hpp
+++ b/servers/gateway/stream_records.hpp
@@ -12,6 +12,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <vector>
 
 namespace pollenhaven
 {
@@ -33,9 +34,11 @@
     // then, or after max_record_wait, when the stream must not wait any longer.
     void record(const request_id& stream, const software_version& version,
                 recorded_handler done);
-    // Withdraws a record that was never sent to the store. Returns false if it was: the
-    // store may still carry the write out, so the stream can't begin at another version.
-    bool withdraw(const request_id& stream);
+    // Returns true if the store has the stream's record or may still get it: a write was
+    // sent to which the store hasn't answered that nothing was done.
+    bool may_be_written(const request_id& stream) const;
+    // Withdraws a record that isn't written and can't be written any more.
+    void withdraw(const request_id& stream);
     // Keeps in memory that the stream's first event came from this version.
     void remember(const request_id& stream, const software_version& version);
     // Finds the version that began a stream of the service. `done` is called with the
@@ -53,8 +56,6 @@
         instant requested_at;
         // Null once it has been called.
         recorded_handler done;
-        // A write with this record was sent; without an answer, it may be carried out.
-        bool was_sent = false;
     };
     struct known_stream
     {
@@ -64,12 +65,13 @@
         // An event of it has been passed on.
         bool has_begun = false;
         bool has_record = false;
-        // As pending_record::was_sent.
-        bool was_sent = false;
+        // See may_be_written().
+        bool may_be_written = false;
     };
 
     void schedule_write();
     void write_batch();
+    void set_may_be_written(const std::vector<pending_record>& batch, bool value);
     void on_batch_written(const std::vector<pending_record>& batch,
                           const std::vector<std::string>& removals,
                           const http_result& result);
--- a/tests/contract/caller_connections_test.cpp
+++ b/tests/contract/caller_connections_test.cpp
@@ -465,7 +465,8 @@
     "Transfer-Encoding : chunked\r\n",
     "Content-Length: 5\r\nContent-Length: 50\r\n",
     "Content-Length: 5, 5\r\n",
-    "Content-Length: +5\r\n"};
+    "Content-Length: +5\r\n",
+    "Content-Length:\r\n"};
 
 } // namespace
 
@@ -493,9 +494,8 @@
             test.run_for(milliseconds(10));
             smuggler.receive();
             BOOST_TEST(requests == 0, framing);
-            BOOST_TEST(smuggler.received.rfind("HTTP/1.1 4") == 0U,
-                       framing << smuggler.received);
             BOOST_TEST(smuggler.received.starts_with("HTTP/1.1 400"), framing);
+            BOOST_TEST(smuggler.received.rfind("HTTP/1.1 400") == 0U, framing);
             BOOST_TEST(smuggler.ended, framing);
         }
 }
--- a/tests/contract/fleet_flow_test.cpp
+++ b/tests/contract/fleet_flow_test.cpp
@@ -612,8 +612,7 @@
             },
             seconds(2));
         BOOST_TEST(test.first.requests.size() >= callers / 2);
-        BOOST_TEST(most_held <= 17 * bytes_per_mb, most_held);
-        BOOST_TEST(test.flow.held_response_bytes() <= 16 * bytes_per_mb);
+        BOOST_TEST(most_held <= 16 * bytes_per_mb, most_held);
         // Those that the other endpoint got are served.
         int answered = 0;
         for (const auto& [id, response] : responses)
--- a/tests/policy/stream_origin_test.cpp
+++ b/tests/policy/stream_origin_test.cpp
@@ -509,16 +509,25 @@
 }
 
 // Guards against streams that are taken for streams of the base version because their
-// record isn't in the store (ORDER).
-BOOST_AUTO_TEST_CASE(only_streams_that_nobody_can_join_begin_without_their_record)
+// record isn't in the store, or for streams of another one because a late write is
+// carried out after they began at the base version (ORDER).
+BOOST_AUTO_TEST_CASE(a_stream_with_a_late_record_begins_only_where_nobody_can_join_it)
 {
+    const late_record unsent{{"v2"}, false, true};
+    const late_record in_doubt{{"v2"}, true, true};
+    const late_record without_attempts{{"v2"}, false, false};
     fleet_view fleet = fleet_with({"v1", "v2"});
-    BOOST_TEST(!may_begin_without_record(fleet, service, {"v2"}, start));
+    const auto action = [&](const late_record& late)
+    { return choose_late_record_action(fleet, service, late, start); };
+    BOOST_TEST((action(unsent) == late_record_action::end));
     set_base(fleet, "v1");
-    BOOST_TEST(may_begin_without_record(fleet, service, {"v1"}, start));
-    BOOST_TEST(!may_begin_without_record(fleet, service, {"v2"}, start));
+    BOOST_TEST((action(unsent) == late_record_action::begin_at_base));
+    BOOST_TEST((action(in_doubt) == late_record_action::end));
+    BOOST_TEST((action(without_attempts) == late_record_action::end));
+    BOOST_TEST((action({{"v1"}, true, true}) == late_record_action::pass_on));
     fleet.endpoints.at({"i-0"}).draining = true;
-    BOOST_TEST(may_begin_without_record(fleet, service, {"v2"}, start));
+    for (const late_record& late : {unsent, in_doubt, without_attempts})
+        BOOST_TEST((action(late) == late_record_action::pass_on));
 }
 
 BOOST_AUTO_TEST_CASE(new_streams_keep_to_the_base_version_while_the_store_is_silent)
--- a/tests/process/checks.hpp
+++ b/tests/process/checks.hpp
@@ -86,6 +86,27 @@
         static_cast<std::size_t>(std::stoi(engine.substr(engine.find('-') + 1))));
 }
 
+// Returns true if an event of the stream came from an engine of another version.
+inline bool has_event_of_other_version(const fleet_options& options,
+                                       const event_stream& stream,
+                                       const std::string& version)
+{
+    return std::any_of(stream.events.begin(), stream.events.end(),
+                       [&](const auto& event)
+                       { return software_of(options, event.second) != version; });
+}
+
+inline void set_store_link(const fleet& deployment, int daemon, const std::string& mode)
+{
+    control_standin(deployment.store_proxy_control_address(daemon), {{"mode", mode}});
+}
+
+inline void set_store_links(const fleet& deployment, const std::string& mode)
+{
+    for (int daemon = 0; daemon < deployment.daemon_count(); ++daemon)
+        set_store_link(deployment, daemon, mode);
+}
+
 inline std::string request_id(const std::string& kind, int number)
 {
     return kind + "-" + std::to_string(number);
--- a/tests/process/fleet_test.cpp
+++ b/tests/process/fleet_test.cpp
@@ -127,8 +127,8 @@
     BOOST_TEST(deployment.all_ready());
 }
 
-// Guards against one deeply nested entry of another writer that ends each daemon that
-// reads it, also after each start.
+// Guards against a deeply nested entry of another writer, which ended each daemon that
+// read it, running or just started.
 BOOST_AUTO_TEST_CASE(daemons_run_and_start_beside_a_deeply_nested_entry)
 {
     fleet deployment;
@@ -162,9 +162,9 @@
     BOOST_TEST(deployment.send_openai_chat(0, "base/a1", "hello", 5).status == 200);
 }
 
-// Guards against an endpoint that stays in use although another writer has replaced its
-// entry by one that can't be read, and against one that isn't used again when it has
-// registered once more.
+// Another writer replaces an engine's entry by one that can't be read. Guards against
+// requests that are still sent to that engine, and against an engine that gets none after
+// it has registered again.
 BOOST_AUTO_TEST_CASE(an_engine_whose_entry_becomes_odd_gets_no_requests)
 {
     for (const std::string odd :
@@ -228,8 +228,8 @@
     }
 }
 
-// Guards against a holder's entry that another writer has replaced, after which no daemon
-// can claim the engine any more.
+// Another writer replaces the entry that names an engine's holder. Guards against an
+// engine that no daemon can claim after that.
 BOOST_AUTO_TEST_CASE(an_engine_is_claimed_again_after_its_holder_entry_became_odd)
 {
     fleet_options options;
--- a/tests/process/out_of_step_test.cpp
+++ b/tests/process/out_of_step_test.cpp
@@ -132,19 +132,12 @@
             continue;
         }
         ++result.continued;
-        const auto is_other = [&](const auto& event)
-        { return software_of(options, event.second) != version; };
         result.joined_from_two_versions +=
-            std::any_of(rest.events.begin(), rest.events.end(), is_other) ? 1 : 0;
+            has_event_of_other_version(options, rest, version) ? 1 : 0;
     }
     return result;
 }
 
-void set_store_link(const fleet& deployment, int daemon, const std::string& mode)
-{
-    control_standin(deployment.store_proxy_control_address(daemon), {{"mode", mode}});
-}
-
 // Checks that no stream continues at another version at a daemon that is out of step, and
 // that all are resumed there once it reaches the store again.
 void check_streams_wait_for_the_store(const fleet& deployment,
@@ -217,8 +210,7 @@
     fleet deployment(options);
     for (const std::string& mode : std::vector<std::string>{"cut", "silent"})
     {
-        for (int daemon = 0; daemon < deployment.daemon_count(); ++daemon)
-            set_store_link(deployment, daemon, mode);
+        set_store_links(deployment, mode);
         std::this_thread::sleep_for(seconds(2));
         const std::vector<event_stream> begun = begin_streams_and_break(deployment, mode);
         const resumed_streams resumed =
@@ -227,8 +219,7 @@
         BOOST_TEST(resumed.continued == resumed.interrupted,
                    mode << ": " << resumed.continued << " of " << resumed.interrupted
                         << " resumed");
-        for (int daemon = 0; daemon < deployment.daemon_count(); ++daemon)
-            set_store_link(deployment, daemon, "pass");
+        set_store_links(deployment, "pass");
         deployment.start_daemon(beginner);
         BOOST_REQUIRE(
             fleet::wait_for([&] { return deployment.all_ready(); }, seconds(10)));
--- a/tests/process/stream_version_test.cpp
+++ b/tests/process/stream_version_test.cpp
@@ -108,10 +108,8 @@
             continue;
         }
         ++result.continued;
-        const auto is_other = [&](const auto& event)
-        { return software_of(options, event.second) != began_at; };
         result.joined_from_two_versions +=
-            std::any_of(rest.events.begin(), rest.events.end(), is_other) ? 1 : 0;
+            has_event_of_other_version(options, rest, began_at) ? 1 : 0;
     }
     return result;
 }
@@ -148,25 +146,13 @@
     return result;
 }
 
-void set_store_links(const fleet& deployment, const std::string& mode)
-{
-    for (int daemon = 0; daemon < deployment.daemon_count(); ++daemon)
-        control_standin(deployment.store_proxy_control_address(daemon), {{"mode", mode}});
-}
-
-} // namespace
-
-// Guards against streams whose version has no record, since the store fell silent as they
-// began, and which another daemon resumes at the base version after a kill (ORDER).
-BOOST_AUTO_TEST_CASE(streams_begun_as_the_store_falls_silent_are_not_joined_after_a_kill)
+// Begins streams one after the other at daemon 0. Meanwhile the store falls silent, the
+// daemon is killed, and the store is back.
+std::vector<caller_stream> run_callers_through_outage(fleet& deployment)
 {
     constexpr milliseconds between_streams{25};
     constexpr milliseconds silent_after{300};
     constexpr milliseconds kill_after_silence{2500};
-    fleet_options options = two_versions();
-    options.proxy_store = true;
-    options.events_per_stream = 70;
-    fleet deployment(options);
     std::promise<void> store_is_back;
     const std::shared_future<void> back = store_is_back.get_future().share();
     std::vector<caller_stream> results(streams);
@@ -194,27 +180,36 @@
     }
     for (std::thread& thread : threads)
         thread.join();
+    return results;
+}
+
+} // namespace
+
+// Guards against streams whose version has no record, since the store fell silent as they
+// began, and which another daemon resumes at the base version after a kill (ORDER).
+BOOST_AUTO_TEST_CASE(streams_begun_as_the_store_falls_silent_are_not_joined_after_a_kill)
+{
+    fleet_options options = two_versions();
+    options.proxy_store = true;
+    options.events_per_stream = 70;
+    fleet deployment(options);
     int complete = 0;
     int joined = 0;
-    std::map<std::string, int> begun_at;
-    for (const caller_stream& result : results)
+    std::set<std::string> versions;
+    for (const caller_stream& result : run_callers_through_outage(deployment))
     {
         if (result.begun.events.empty())
             continue;
         const std::string version =
             software_of(options, result.begun.events.begin()->second);
-        ++begun_at[version];
-        const auto is_other = [&](const auto& event)
-        { return software_of(options, event.second) != version; };
-        joined +=
-            std::any_of(result.rest.events.begin(), result.rest.events.end(), is_other) ||
-                    std::any_of(result.begun.events.begin(), result.begun.events.end(),
-                                is_other)
-                ? 1
-                : 0;
-        complete += result.begun.is_complete || result.rest.is_complete ? 1 : 0;
+        versions.insert(version);
+        for (const event_stream& part : {result.begun, result.rest})
+        {
+            complete += part.is_complete ? 1 : 0;
+            joined += has_event_of_other_version(options, part, version) ? 1 : 0;
+        }
     }
-    BOOST_TEST(begun_at.size() == 2U);
+    BOOST_TEST(versions.size() == 2U);
     BOOST_TEST(joined == 0);
     // Nine of ten streams that can go on have to.
     BOOST_TEST(10 * complete >= 9 * streams,
