Customers with API keys and quotas that all daemons keep together

Callers saw: on the deployments whose configuration lists customers, every request broke a rule.

Cause: the configuration's customers were not read at all.

Endpoints get the customer's name in place of the key. A customer's priority comes before the route's.

Ruled out on paper: equal parts, gossiped use, parts leased for seconds, calls to the store (docs/design/quotas.md).

--- a/core/ids.hpp
+++ b/core/ids.hpp
@@ -32,8 +32,8 @@
 using incarnation_id = strong_string<struct incarnation_id_tag>;
 // Identifies an endpoint: a model engine or one worker of a plain service.
 using endpoint_id = strong_string<struct endpoint_id_tag>;
-// Identifies a partner by its name in the operators' configuration.
-using partner_id = strong_string<struct partner_id_tag>;
+// Identifies a customer by its name in the operators' configuration.
+using customer_id = strong_string<struct customer_id_tag>;
 // Identifies a service, plain or of model engines, by its name in the operators'
 // configuration.
 using service_id = strong_string<struct service_id_tag>;
--- a/core/interfaces/platform_dialect.hpp
+++ b/core/interfaces/platform_dialect.hpp
@@ -48,6 +48,8 @@
     int prompt_tokens = 0;
     // Number of tokens to generate, or its maximum; 0 if unknown.
     int output_tokens = 0;
+    // The request states its numbers of tokens.
+    bool states_tokens = false;
     // The parts of the prompt that other requests may have too, in order. The last part,
     // which is the request's or its session's own, isn't among them.
     std::vector<prompt_part_id> shared_prompt_parts;
@@ -82,6 +84,10 @@
     // Set if the caller's request lacks the platform's header fields; they are then
     // written from this.
     std::optional<caller_request> description;
+    // Callers identify themselves by API keys, which endpoints must not get, and
+    // endpoints get the name of the customer, which is empty if the caller has no key.
+    bool callers_have_keys = false;
+    customer_id customer;
 };
 
 // The fields that change when a daemon passes a caller's request on to another daemon.
@@ -244,6 +250,8 @@
 
     std::function<request_type(const http_head&)> classify;
     std::function<caller_request(const http_head&)> read_request;
+    // Returns the API key of a request; none if it has no key or more than one.
+    std::function<std::optional<std::string>(const http_head&)> read_api_key;
     directory_writer write_directory;
     std::function<std::string(const http_head&, std::size_t body_bytes,
                               const forwarding_fields&)>
--- a/core/records/routing.hpp
+++ b/core/records/routing.hpp
@@ -3,6 +3,7 @@
 
 #include "core/boot_clock.hpp"
 #include "core/ids.hpp"
+#include "core/records/customers.hpp"
 
 #include <cstdint>
 #include <map>
@@ -54,6 +55,8 @@
     int priority = 0;
     // Streams may be resumed on another endpoint.
     bool resumable = false;
+    // Requests need no API key.
+    bool is_public = false;
 };
 
 // A base model, the size of its weights and that of each of its adapters.
@@ -100,6 +103,8 @@
     std::vector<route> routes;
     std::map<service_id, service_record> services;
     caller_limits limits;
+    // None if callers don't identify themselves.
+    std::optional<customer_table> customers;
 };
 
 // Returns the route of the host with the longest matching path prefix; null if no route
--- a/main/control/options.cpp
+++ b/main/control/options.cpp
@@ -13,7 +13,8 @@
 
 const char* const description =
     "Command line tool for operators and callers of pollenhaven. Reports of a daemon "
-    "(--daemon with its metrics address): status, endpoints, adapters, members, holders. "
+    "(--daemon with its metrics address): status, endpoints, adapters, members, "
+    "customers, holders. "
     "The configuration in the store (--store): config show, config check --file F, "
     "config diff --file F. Requests (--daemon with a caller address): request --model "
     "base/adapter[@version] --prompt TEXT; entry prints the address to send requests to. "
--- a/main/pollenhavenctl.cpp
+++ b/main/pollenhavenctl.cpp
@@ -17,10 +17,11 @@
 {
     using namespace pollenhaven::control;
     static const std::map<std::string, std::function<void(const control_options&)>>
-        commands = {
-            {"config", run_config},   {"status", run_report},   {"endpoints", run_report},
-            {"adapters", run_report}, {"members", run_report},  {"holders", run_report},
-            {"entry", run_report},    {"explain", run_explain}, {"request", run_request}};
+        commands = {{"config", run_config},    {"status", run_report},
+                    {"endpoints", run_report}, {"adapters", run_report},
+                    {"members", run_report},   {"customers", run_report},
+                    {"holders", run_report},   {"entry", run_report},
+                    {"explain", run_explain},  {"request", run_request}};
     const auto command = commands.find(options.arguments.front());
     if (command == commands.end())
         throw command_error(exit_code::bad_input, "unknown command '" +
--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <functional>
 
 namespace pollenhaven
 {
@@ -73,6 +74,32 @@
     return load;
 }
 
+bool is_available(const member_view& member)
+{
+    return member.leased && !member.leaving;
+}
+
+// Returns the first daemon by rendezvous hashing of the key, of those that `is_eligible`
+// selects; empty if there is none.
+daemon_id first_by_hash(const fleet_view& fleet, const std::string& key,
+                        const std::function<bool(const member_view&)>& is_eligible)
+{
+    daemon_id first;
+    std::uint64_t highest = 0;
+    for (const auto& [id, member] : fleet.members)
+    {
+        if (!is_eligible(member))
+            continue;
+        const std::uint64_t weight = rendezvous_weight(key, id.value);
+        if (first.empty() || weight > highest)
+        {
+            first = id;
+            highest = weight;
+        }
+    }
+    return first;
+}
+
 } // namespace
 
 int total_in_flight(const endpoint_view& endpoint, instant now)
@@ -247,9 +274,13 @@
 void count_loads_in_progress(fleet_view& fleet, instant now)
 {
     fleet.loads_in_progress = 0;
+    fleet.held_engines = 0;
     for (const auto& [id, endpoint] : fleet.endpoints)
+    {
+        fleet.held_engines += endpoint.holder.empty() ? 0 : 1;
         for (const auto& [adapter, resident] : endpoint.adapters)
             fleet.loads_in_progress += resident.ready_at > now ? 1 : 0;
+    }
 }
 
 std::optional<load_observation> observed_load(const resident_adapter& resident,
@@ -288,28 +319,23 @@
 
 daemon_id endpoint_keeper(const fleet_view& fleet, const endpoint_id& endpoint)
 {
-    const auto is_available = [](const member_view& member)
-    { return member.leased && !member.leaving; };
     const auto view = fleet.endpoints.find(endpoint);
     const auto holder = view == fleet.endpoints.end()
                             ? fleet.members.end()
                             : fleet.members.find(view->second.holder);
     if (holder != fleet.members.end() && is_available(holder->second))
         return holder->first;
-    daemon_id keeper;
-    std::uint64_t highest = 0;
-    for (const auto& [id, member] : fleet.members)
-    {
-        if (!is_available(member))
-            continue;
-        const std::uint64_t weight = rendezvous_weight(endpoint.value, id.value);
-        if (keeper.empty() || weight > highest)
-        {
-            keeper = id;
-            highest = weight;
-        }
-    }
-    return keeper;
+    return first_by_hash(fleet, endpoint.value, is_available);
+}
+
+daemon_id customer_keeper(const fleet_view& fleet, const customer_id& customer)
+{
+    const daemon_id keeper = first_by_hash(fleet, customer.value, is_available);
+    if (!keeper.empty())
+        return keeper;
+    return first_by_hash(fleet, customer.value,
+                         [&fleet](const member_view& member)
+                         { return !member.leaving || member.id == fleet.self; });
 }
 
 bool is_first_member(const fleet_view& fleet)
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -199,9 +199,11 @@
     load_time_model load_times;
     // Loads in progress at all engines, as of the last count_loads_in_progress().
     int loads_in_progress = 0;
+    // Engines with a holder, as of the same time.
+    int held_engines = 0;
 };
 
-// Counts the adapters that are being loaded at any engine.
+// Counts the adapters that are being loaded at any engine, and the engines with a holder.
 void count_loads_in_progress(fleet_view& fleet, instant now);
 
 // Returns what a request that was sent at the time `sent` tells about the load of its
@@ -289,6 +291,11 @@
 // hashing. Empty if there is none.
 daemon_id endpoint_keeper(const fleet_view& fleet, const endpoint_id& endpoint);
 
+// Returns the daemon that keeps the ledger of a customer's quota: the first by rendezvous
+// hashing of those with a lease in the store that aren't leaving. If none is known to
+// have a lease, it is chosen from all known daemons.
+daemon_id customer_keeper(const fleet_view& fleet, const customer_id& customer);
+
 // Returns the load of all daemons but `asker` at an endpoint, as far as its keeper knows,
 // with the counts of those adapters for which the asker has requests there.
 peer_load load_without(const endpoint_view& endpoint, const daemon_id& asker,
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -330,6 +330,29 @@
             {"age", message.limit_age.count()}};
 }
 
+json encode_body(const quota_question_message& message)
+{
+    return {{"kind", "credit"},
+            {"from", message.sender.value},
+            {"of", message.customer.value},
+            {"rate", message.quota.rate},
+            {"burst", message.quota.burst},
+            {"number", message.question.number.value},
+            {"needed", message.question.needed},
+            {"wanted", message.question.wanted},
+            {"returned", message.question.returned}};
+}
+
+json encode_body(const quota_answer_message& message)
+{
+    return {{"kind", "granted"},
+            {"from", message.sender.value},
+            {"of", message.customer.value},
+            {"number", message.answer.number.value},
+            {"granted", message.answer.granted},
+            {"retry", message.answer.retry_in.count()}};
+}
+
 json encode_body(const permit_message& message)
 {
     return {{"kind", "permit"},
@@ -614,6 +637,35 @@
     return message;
 }
 
+double decode_credit(const json& value)
+{
+    constexpr double max_credit = 1e15;
+    return checked_number(value, 0, max_credit);
+}
+
+quota_question_message decode_quota_question(const json& body)
+{
+    quota_question_message message;
+    message.customer = {body.at("of").get<std::string>()};
+    message.quota.rate = decode_credit(body.at("rate"));
+    message.quota.burst = decode_credit(body.at("burst"));
+    message.question = {{decode_unsigned(body.at("number"))},
+                        decode_credit(body.at("needed")),
+                        decode_credit(body.at("wanted")),
+                        decode_credit(body.at("returned"))};
+    return message;
+}
+
+quota_answer_message decode_quota_answer(const json& body)
+{
+    quota_answer_message message;
+    message.customer = {body.at("of").get<std::string>()};
+    message.answer = {{decode_unsigned(body.at("number"))},
+                      decode_credit(body.at("granted")),
+                      decode_duration(body.at("retry"))};
+    return message;
+}
+
 fleet_message decode_body(const json& body)
 {
     const std::string kind = body.at("kind").get<std::string>();
@@ -647,6 +699,10 @@
         return decode_store_changes(body);
     if (kind == "others")
         return decode_stated_load(body);
+    if (kind == "credit")
+        return decode_quota_question(body);
+    if (kind == "granted")
+        return decode_quota_answer(body);
     throw std::runtime_error("the message kind '" + kind + "' is unknown");
 }
 
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -2,8 +2,10 @@
 #define POLLENHAVEN_SERVERS_GATEWAY_FLEET_MESSAGES_HPP
 
 #include "core/ids.hpp"
+#include "core/records/customers.hpp"
 #include "core/records/endpoint_record.hpp"
 #include "policy/crash_history.hpp"
+#include "policy/customers/quota_ledger.hpp"
 #include "policy/fleet/fleet_view.hpp"
 #include "policy/fleet/keeper_questions.hpp"
 #include "policy/fleet/load_time_model.hpp"
@@ -280,12 +282,31 @@
     std::vector<watch_news> watches;
 };
 
+// Asks a customer's keeper for credit, or returns some.
+struct quota_question_message
+{
+    daemon_id sender;
+    customer_id customer;
+    // The quota in the sender's configuration, for a keeper that doesn't know the
+    // customer yet.
+    customer_quota quota;
+    quota_question question;
+};
+
+struct quota_answer_message
+{
+    daemon_id sender;
+    customer_id customer;
+    quota_answer answer;
+};
+
 using fleet_message =
     std::variant<heartbeat_message, endpoint_load_message, inventory_message,
                  load_queue_message, load_request_message, suspects_message,
                  prompt_parts_message, sync_request_message, sync_chunk_message,
                  endpoint_limit_message, permit_request_message, permit_message,
-                 endpoint_room_message, stated_load_message, store_changes_message>;
+                 endpoint_room_message, stated_load_message, store_changes_message,
+                 quota_question_message, quota_answer_message>;
 
 // Encodes a message as MessagePack with a format version.
 std::string encode(const fleet_message& message);
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -9,6 +9,7 @@
 #include "servers/gateway/brittle_endpoints.hpp"
 #include "servers/gateway/connection_pool.hpp"
 #include "servers/gateway/crash_guard.hpp"
+#include "servers/gateway/customers/customer_quotas.hpp"
 #include "servers/gateway/engine_controller.hpp"
 #include "servers/gateway/fleet_membership.hpp"
 #include "servers/gateway/fleet_watcher.hpp"
@@ -160,6 +161,7 @@
     brittle_endpoints brittle_;
     link_monitor links_;
     endpoint_load_reports loads_;
+    customer_quotas quotas_;
     request_flow flow_;
     engine_controller engine_controller_;
     fleet_membership membership_;
@@ -222,8 +224,10 @@
           [this](const daemon_id& sender, const endpoint_id& endpoint,
                  const endpoint_load& load)
           { record_endpoint_load(sender, endpoint, load); }),
+      quotas_(context_, [this](const daemon_id& member, const fleet_message& message)
+              { send_to_member(member, message); }),
       flow_(context_, caller_server_, pool_, guard_, claims_, permits_, records_,
-            brittle_, links_, loads_,
+            brittle_, links_, loads_, quotas_,
             [this](const load_request_message& request) { request_load(request); }),
       engine_controller_(
           context_,
@@ -382,6 +386,10 @@
         publisher_.on_changes(*changes);
     else if (const auto* room = std::get_if<endpoint_room_message>(&message))
         brittle_.on_message(*room);
+    else if (const auto* question = std::get_if<quota_question_message>(&message))
+        quotas_.on_question(*question);
+    else if (const auto* answer = std::get_if<quota_answer_message>(&message))
+        quotas_.on_answer(*answer);
 }
 
 void gateway::dispatch_waiting()
@@ -611,6 +619,7 @@
     watcher_.remove_gone_endpoints();
     guard_.run_periodic_work();
     claims_.remove_expired_claims();
+    quotas_.run_periodic_work();
     base_versions_.run_periodic_work();
     block_records_.update();
     records_.run_periodic_work();
@@ -625,7 +634,7 @@
 gateway_activity gateway::current_activity() const
 {
     return {flow_.requests_in_flight(), caller_server_.connections(),
-            flow_.held_response_bytes()};
+            flow_.held_response_bytes(), quotas_.usage()};
 }
 
 void gateway::handle_operator_request(stream_id caller, const http_head& head)
--- a/servers/gateway/gateway_reports.cpp
+++ b/servers/gateway/gateway_reports.cpp
@@ -93,6 +93,28 @@
     return report;
 }
 
+json customers_report(const gateway_activity& activity)
+{
+    json report = json::array();
+    for (const customer_usage& usage : activity.customers)
+        report.push_back(
+            {{"customer", usage.customer.value},
+             {"keeper", usage.keeper.value},
+             {"unit", !usage.quota
+                          ? json()
+                          : json(usage.quota->unit == quota_unit::tokens ? "tokens"
+                                                                         : "requests")},
+             {"rate", usage.quota ? json(usage.quota->rate) : json()},
+             {"burst", usage.quota ? json(usage.quota->burst) : json()},
+             {"level", usage.level ? json(*usage.level) : json()},
+             {"held", usage.held},
+             {"charged", usage.charged},
+             {"over_quota", usage.refused},
+             {"last_refused_ms_ago",
+              usage.since_refused ? json(usage.since_refused->count()) : json()}});
+    return report;
+}
+
 } // namespace
 
 void update_gauges(gateway_context& context, const gateway_activity& activity)
@@ -135,6 +157,8 @@
         return write_json(adapters_report(context));
     if (name == "members")
         return write_json(members_report(context));
+    if (name == "customers")
+        return write_json(customers_report(activity));
     return std::nullopt;
 }
 
--- a/servers/gateway/gateway_reports.hpp
+++ b/servers/gateway/gateway_reports.hpp
@@ -1,11 +1,13 @@
 #ifndef POLLENHAVEN_SERVERS_GATEWAY_GATEWAY_REPORTS_HPP
 #define POLLENHAVEN_SERVERS_GATEWAY_GATEWAY_REPORTS_HPP
 
+#include "servers/gateway/customers/customer_quotas.hpp"
 #include "servers/gateway/gateway_context.hpp"
 
 #include <cstddef>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace pollenhaven
 {
@@ -17,6 +19,8 @@
     std::size_t caller_connections = 0;
     // Bytes of unfinished responses.
     std::size_t held_response_bytes = 0;
+    // The customers of the configuration.
+    std::vector<customer_usage> customers;
 };
 
 // Updates the gauges that are computed only when the metrics are read.
--- a/servers/gateway/gateway_settings.cpp
+++ b/servers/gateway/gateway_settings.cpp
@@ -106,6 +106,12 @@
         seconds(reader.number("window_s", settings.retry_budget.window.count(), 1, 3600));
 }
 
+void read_quotas(gateway_settings& settings, toml_reader& reader)
+{
+    constexpr double max_slack = 1e12;
+    settings.quota_slack = reader.real("slack", settings.quota_slack, 0, max_slack);
+}
+
 void read_stop(gateway_settings& settings, toml_reader& reader)
 {
     settings.stop_grace = read_duration_setting(reader, "grace_ms", settings.stop_grace);
@@ -116,8 +122,8 @@
 gateway_settings read_gateway_settings(const std::string& path)
 {
     const toml::table root = parse_settings_file(path);
-    reject_unknown_tables(root, path,
-                          {"daemon", "listen", "store", "orders", "retries", "stop"});
+    reject_unknown_tables(
+        root, path, {"daemon", "listen", "store", "orders", "retries", "quotas", "stop"});
     gateway_settings settings;
     const auto read = [&](const std::string& table, auto function)
     {
@@ -129,6 +135,7 @@
     read("store", read_store);
     read("orders", read_orders);
     read("retries", read_retries);
+    read("quotas", read_quotas);
     read("stop", read_stop);
     return settings;
 }
--- a/servers/gateway/gateway_settings.hpp
+++ b/servers/gateway/gateway_settings.hpp
@@ -50,6 +50,8 @@
     // Time from SIGTERM until the process is killed.
     milliseconds stop_grace{8000};
     retry_budget_limits retry_budget;
+    // What all daemons together may exceed a customer's quota by, in the quota's unit.
+    double quota_slack = 0;
     engine_timing load_timing;
 };
 
--- a/servers/gateway/gateway_statistics.cpp
+++ b/servers/gateway/gateway_statistics.cpp
@@ -10,7 +10,8 @@
 constexpr std::array<std::string_view, std::variant_size_v<fleet_message>> kind_names{
     "heartbeat",      "endpoint_load", "inventory",     "load_queue",  "load_request",
     "suspects",       "prompt_parts",  "sync_request",  "sync_chunk",  "endpoint_limit",
-    "permit_request", "permit",        "endpoint_room", "stated_load", "store_changes"};
+    "permit_request", "permit",        "endpoint_room", "stated_load", "store_changes",
+    "quota_question", "quota_answer"};
 
 void report_counts(gateway_context& context, const std::string& direction,
                    const counts_by_kind& counts)
--- a/servers/gateway/http_exchange.hpp
+++ b/servers/gateway/http_exchange.hpp
@@ -3,6 +3,8 @@
 
 #include "core/interfaces/platform_dialect.hpp"
 #include "policy/call_claim.hpp"
+#include "policy/customers/caller_identity.hpp"
+#include "policy/customers/quota_allowance.hpp"
 #include "policy/fleet/event_stream.hpp"
 #include "policy/fleet/keeper_questions.hpp"
 #include "servers/gateway/counted_bytes.hpp"
@@ -24,6 +26,8 @@
 
 enum class exchange_phase
 {
+    // Waits for credit from its customer's quota.
+    charging,
     // Waits for the result of the claim on its idempotency key.
     claiming,
     // Waits for the software version of the stream that it resumes.
@@ -56,6 +60,13 @@
     std::shared_ptr<const routing_table> table;
     const route* matched_route = nullptr;
     service_id service;
+    // The customer that sends the request, by the configuration below; null if it isn't
+    // known. That configuration may be newer than `table`.
+    const customer_record* customer = nullptr;
+    std::shared_ptr<const routing_table> identity_table;
+    // What the request has used of a customer's quota; none if it has used nothing.
+    std::optional<quota_charge> charge;
+    customer_id charged_customer;
 
     instant arrived;
     // The time by which the caller must have its final response.
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -16,7 +16,6 @@
 // show the load.
 constexpr milliseconds load_request_interval{120};
 constexpr milliseconds replica_request_interval{500};
-constexpr int least_urgent_value = 9;
 
 } // namespace
 
@@ -52,8 +51,12 @@
     std::sort(waiting.begin(), waiting.end(),
               [](const http_exchange* left, const http_exchange* right)
               {
-                  return std::tie(left->matched_route->priority, left->arrived) <
-                         std::tie(right->matched_route->priority, right->arrived);
+                  const request_rank left_rank =
+                      rank_of(left->customer, *left->matched_route);
+                  const request_rank right_rank =
+                      rank_of(right->customer, *right->matched_route);
+                  return std::tie(left_rank, left->arrived) <
+                         std::tie(right_rank, right->arrived);
               });
     std::vector<exchange_id> dispatch_order;
     dispatch_order.reserve(waiting.size());
@@ -68,7 +71,7 @@
 {
     http_exchange& exchange = exchanges_.at(id.value);
     const instant now = context_.loop.now();
-    if (!is_waiting(exchange) || awaits_answer(exchange))
+    if (!is_waiting(exchange) || awaits_answer(exchange) || !identify_again(exchange))
         return;
     if (guard_.request_suspect_status(exchange) == suspect_status::blocked)
         return refuse_or_fail(
@@ -229,7 +232,7 @@
     request.endpoint = *engine;
     request.adapter = exchange.request.adapter;
     request.version = required_version(context_.fleet, exchange.request.adapter);
-    request.urgency = exchange.matched_route->priority;
+    request.urgency = urgency_of(rank_of(exchange.customer, *exchange.matched_route));
     // An engine at which the request failed may still hold the adapter, but the request
     // isn't sent there again. The load counts as a replica, because the holder would drop
     // any other load of an adapter that another engine holds; so does one for a stream
@@ -272,7 +275,10 @@
     forwarding_fields fields;
     fields.endpoint = endpoint;
     fields.deadline = to_milliseconds(exchange.deadline - now);
-    fields.urgency = std::min(exchange.matched_route->priority, least_urgent_value);
+    fields.urgency = urgency_of(rank_of(exchange.customer, *exchange.matched_route));
+    fields.callers_have_keys = exchange.identity_table->customers.has_value();
+    if (exchange.customer != nullptr)
+        fields.customer = exchange.customer->id;
     if (required_version(context_.fleet, exchange.request.adapter))
         fields.version = view.adapters.at(exchange.request.adapter).version;
     if (exchange.request.version)
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -6,6 +6,7 @@
 #include "servers/gateway/brittle_endpoints.hpp"
 #include "servers/gateway/connection_pool.hpp"
 #include "servers/gateway/crash_guard.hpp"
+#include "servers/gateway/customers/customer_quotas.hpp"
 #include "servers/gateway/fleet_messages.hpp"
 #include "servers/gateway/gateway_context.hpp"
 #include "servers/gateway/http_exchange.hpp"
@@ -40,7 +41,8 @@
     request_flow(gateway_context& context, http_server& callers, connection_pool& pool,
                  crash_guard& guard, idempotency_claims& claims, request_permits& permits,
                  stream_records& records, brittle_endpoints& brittle, link_monitor& links,
-                 endpoint_load_reports& loads, load_request_handler request_load);
+                 endpoint_load_reports& loads, customer_quotas& quotas,
+                 load_request_handler request_load);
 
     // Handles a request up to its response, which is sent on the caller's stream. While
     // this daemon is cut off from the endpoints, it relays the requests of its callers to
@@ -72,6 +74,21 @@
 private:
     // Matches the request to a route, sets its time limits and starts its dispatch.
     void admit(http_exchange& exchange);
+    // Identifies the caller by the configuration in force. Returns false if the request
+    // ended, because its API key isn't known.
+    bool identify(http_exchange& exchange);
+    // The same again if the configuration has changed since, for a request that hasn't
+    // been sent.
+    bool identify_again(http_exchange& exchange);
+    // Charges the request to its customer's quota, if it has one.
+    void charge_quota(http_exchange& exchange);
+    void on_charged(exchange_id id, const customer_id& customer,
+                    const charge_decision& decision);
+    // Gives back the charge of a request that ends without having run.
+    void give_back_charge(http_exchange& exchange);
+    // Handles a request that may be sent: claims its idempotency key, or looks for an
+    // endpoint.
+    void begin(http_exchange& exchange);
     // Finds the software version that began the stream which the caller resumes.
     void locate_stream_version(http_exchange& exchange);
     void on_stream_located(exchange_id id, const stream_origin& origin);
@@ -247,6 +264,7 @@
     brittle_endpoints& brittle_;
     link_monitor& links_;
     endpoint_load_reports& loads_;
+    customer_quotas& quotas_;
     load_request_handler request_load_;
     std::uint64_t next_id_ = 1;
     std::size_t held_response_bytes_ = 0;
--- a/servers/gateway/request_flow_admission.cpp
+++ b/servers/gateway/request_flow_admission.cpp
@@ -14,7 +14,9 @@
 {
 
 constexpr int status_bad_request = 400;
+constexpr int status_unauthorized = 401;
 constexpr int status_not_found = 404;
+constexpr int status_too_many_requests = 429;
 
 } // namespace
 
@@ -23,10 +25,10 @@
                            idempotency_claims& claims, request_permits& permits,
                            stream_records& records, brittle_endpoints& brittle,
                            link_monitor& links, endpoint_load_reports& loads,
-                           load_request_handler request_load)
+                           customer_quotas& quotas, load_request_handler request_load)
     : context_(context), callers_(callers), pool_(pool), guard_(guard), claims_(claims),
       permits_(permits), records_(records), brittle_(brittle), links_(links),
-      loads_(loads), request_load_(std::move(request_load))
+      loads_(loads), quotas_(quotas), request_load_(std::move(request_load))
 {
 }
 
@@ -81,6 +83,8 @@
     if (exchange.matched_route == nullptr)
         return fail(exchange, status_not_found, "unknown_route",
                     "no route matches the path");
+    if (!identify(exchange))
+        return;
     exchange.service = pick_service(*exchange.matched_route, stream_hash(exchange));
     const std::string unknown_model_reason =
         exchange.request.has_platform_fields
@@ -105,11 +109,93 @@
     const exchange_id id = exchange.id;
     exchange.deadline_timer =
         context_.loop.schedule(exchange.deadline, [this, id] { on_deadline(id); });
+    charge_quota(exchange);
+}
+
+bool request_flow::identify(http_exchange& exchange)
+{
+    const caller_identity identity =
+        identify_caller(*context_.routing, *exchange.matched_route,
+                        context_.dialect.read_api_key(exchange.head));
+    exchange.identity_table = context_.routing;
+    exchange.customer = identity.customer;
+    if (identity.is_admitted)
+        return true;
+    fail(exchange, status_unauthorized, "unknown_key",
+         "the request has no API key that the configuration knows");
+    return false;
+}
+
+bool request_flow::identify_again(http_exchange& exchange)
+{
+    const bool may_have_run = exchange.possible_runs > 0 || response_has_begun(exchange);
+    if (exchange.identity_table == context_.routing || may_have_run)
+        return true;
+    return identify(exchange);
+}
+
+void request_flow::charge_quota(http_exchange& exchange)
+{
+    // The daemon that relays a request has charged it.
+    if (exchange.customer == nullptr || !exchange.customer->quota ||
+        exchange.is_from_peer)
+        return begin(exchange);
+    exchange.phase = exchange_phase::charging;
+    const exchange_id id = exchange.id;
+    const customer_id customer = exchange.customer->id;
+    quotas_.charge(*exchange.customer,
+                   request_cost(*exchange.customer->quota, exchange.request),
+                   exchange.wait_deadline,
+                   [this, id, customer](const charge_decision& decision)
+                   { on_charged(id, customer, decision); });
+}
+
+void request_flow::on_charged(exchange_id id, const customer_id& customer,
+                              const charge_decision& decision)
+{
+    const auto found = exchanges_.find(id.value);
+    if (found == exchanges_.end())
+    {
+        if (decision.outcome == charge_outcome::granted)
+            quotas_.give_back(customer, decision.charge);
+        return;
+    }
+    http_exchange& exchange = found->second;
+    exchange.phase = exchange_phase::waiting;
+    switch (decision.outcome)
+    {
+    case charge_outcome::granted:
+        exchange.charge = decision.charge;
+        exchange.charged_customer = customer;
+        return begin(exchange);
+    case charge_outcome::no_answer:
+        return refuse(exchange, "quota_unknown",
+                      "the daemon that keeps the customer's quota doesn't answer");
+    case charge_outcome::over_quota:
+        break;
+    }
+    log_refusal(exchange, "over_quota");
+    end_with_error_response(
+        exchange, {verdict::not_run, status_too_many_requests, "over_quota",
+                   "the customer has used its quota up",
+                   std::max(to_milliseconds(decision.retry_at - context_.loop.now()),
+                            milliseconds(1))});
+}
+
+void request_flow::give_back_charge(http_exchange& exchange)
+{
+    if (exchange.charge)
+        quotas_.give_back(exchange.charged_customer, *exchange.charge);
+    exchange.charge.reset();
+}
+
+void request_flow::begin(http_exchange& exchange)
+{
     if (!exchange.request.caller_idempotency_key.empty() && !exchange.is_from_peer)
         return claim_idempotency_key(exchange);
     if (is_resumed_by_caller(exchange))
         return locate_stream_version(exchange);
-    try_dispatch(id);
+    try_dispatch(exchange.id);
 }
 
 void request_flow::locate_stream_version(http_exchange& exchange)
--- a/servers/gateway/request_flow_completion.cpp
+++ b/servers/gateway/request_flow_completion.cpp
@@ -11,6 +11,7 @@
 namespace
 {
 
+constexpr int status_unauthorized = 401;
 constexpr int status_bad_gateway = 502;
 constexpr int status_unavailable = 503;
 constexpr int status_gateway_timeout = 504;
@@ -76,11 +77,17 @@
 void request_flow::end_with_error_response(http_exchange& exchange, const failure& reason)
 {
     release_unused_claim(exchange, reason.execution);
+    if (reason.execution == verdict::not_run)
+        give_back_charge(exchange);
     drop_upstream(exchange);
     if (response_has_begun(exchange))
         callers_.abort_response(exchange.caller);
     else
-        callers_.send_error(exchange.caller, reason, extra_interface_fields(exchange));
+        callers_.send_error(exchange.caller, reason,
+                            extra_interface_fields(exchange) +
+                                (reason.http_status == status_unauthorized
+                                     ? "WWW-Authenticate: Bearer\r\n"
+                                     : ""));
     remove_exchange(exchange);
 }
 
--- a/servers/gateway/request_flow_log.cpp
+++ b/servers/gateway/request_flow_log.cpp
@@ -11,22 +11,24 @@
     const bool is_known = view != context_.fleet.endpoints.end();
     const int load = is_known ? total_in_flight(view->second, now) : 0;
     context_.log.write(
-        event, {{"request", exchange.request.id.value},
-                {"route", exchange.matched_route == nullptr
-                              ? ""
-                              : std::string_view(exchange.matched_route->name)},
-                {"adapter", exchange.request.adapter.value},
-                {"endpoint", exchange.endpoint.value},
-                {"software", is_known ? view->second.record.software.value : ""},
-                {"endpoint_load", std::int64_t{load}},
-                {"age_ms", std::int64_t{to_milliseconds(now - exchange.arrived).count()}},
-                {"longest_pause_ms", std::int64_t{exchange.longest_pause.count()}},
-                {"sends", std::int64_t{exchange.sends}},
-                {"configuration",
-                 exchange.table == nullptr
-                     ? std::int64_t{0}
-                     : static_cast<std::int64_t>(exchange.table->version.value)},
-                {"reason", reason}});
+        event,
+        {{"request", exchange.request.id.value},
+         {"route", exchange.matched_route == nullptr
+                       ? ""
+                       : std::string_view(exchange.matched_route->name)},
+         {"customer", exchange.customer == nullptr ? "" : exchange.customer->id.value},
+         {"adapter", exchange.request.adapter.value},
+         {"endpoint", exchange.endpoint.value},
+         {"software", is_known ? view->second.record.software.value : ""},
+         {"endpoint_load", std::int64_t{load}},
+         {"age_ms", std::int64_t{to_milliseconds(now - exchange.arrived).count()}},
+         {"longest_pause_ms", std::int64_t{exchange.longest_pause.count()}},
+         {"sends", std::int64_t{exchange.sends}},
+         {"configuration",
+          exchange.table == nullptr
+              ? std::int64_t{0}
+              : static_cast<std::int64_t>(exchange.table->version.value)},
+         {"reason", reason}});
 }
 
 void request_flow::log_resumption_by_caller(const http_exchange& exchange)
@@ -48,6 +50,7 @@
         "refused",
         {{"request", exchange.request.id.value},
          {"route", exchange.matched_route == nullptr ? "" : exchange.matched_route->name},
+         {"customer", exchange.customer == nullptr ? "" : exchange.customer->id.value},
          {"adapter", exchange.request.adapter.value},
          {"load_engine", engine},
          {"queued_loads", std::int64_t{queued}},
--- a/tests/contract/fleet_dialect_test.cpp
+++ b/tests/contract/fleet_dialect_test.cpp
@@ -57,6 +57,31 @@
     BOOST_TEST(request.deadline->count() == 15000);
 }
 
+// Guards against a quota that is read in another unit, or customers that are left out.
+BOOST_AUTO_TEST_CASE(the_customers_of_a_configuration_are_read)
+{
+    BOOST_TEST(!dialect().read_routing(R"({"version":1})").customers.has_value());
+    const routing_table table = dialect().read_routing(
+        R"({"version":1,"tenants":[{"name":"a","apiKeys":["k1","k2"],"priority":1,)"
+        R"("unit":"token_stream","plainTokens":200,"ratePerS":500,"burst":700},)"
+        R"({"name":"b","apiKeys":[]}],"routes":[{"name":"r","host":"h","kind":"streaming",)"
+        R"("pathPrefix":"/p/","service":"s","public":true}]})");
+    BOOST_REQUIRE(table.customers.has_value());
+    const customer_record* const customer = find_customer(*table.customers, "k2");
+    BOOST_REQUIRE(customer != nullptr);
+    BOOST_TEST(customer->priority == 1);
+    BOOST_TEST((customer->quota == customer_quota{500, 700, quota_unit::tokens, 200}));
+    BOOST_TEST(!table.customers->customers.at({"b"}).quota.has_value());
+    BOOST_TEST(find_customer(*table.customers, "k3") == nullptr);
+    BOOST_TEST(table.routes.front().is_public);
+    for (const char* invalid :
+         {R"({"version":1,"tenants":[{"name":"","apiKeys":[]}]})",
+          R"({"version":1,"tenants":[{"name":"a b"}]})", R"({"version":1,"tenants":{}})",
+          R"({"version":1,"tenants":[{"name":"a","ratePerS":-1}]})",
+          R"({"version":1,"tenants":[{"name":"a","apiKeys":[1]}]})"})
+        BOOST_CHECK_THROW(dialect().read_routing(invalid), dialect_error);
+}
+
 BOOST_AUTO_TEST_CASE(a_stated_request_limit_is_read_and_a_malformed_one_is_reported)
 {
     const auto read = [](const std::vector<std::string>& limits)
--- a/tests/contract/fleet_wire_test.cpp
+++ b/tests/contract/fleet_wire_test.cpp
@@ -189,6 +189,24 @@
     const fleet_message decoded_request = decode(encode(load));
     BOOST_TEST(std::get<load_request_message>(decoded_request).version->value == 4U);
 
+    quota_question_message question;
+    question.customer = {"c"};
+    question.quota.rate = 500;
+    question.question = {{1ULL << 60U}, 1114, 2228.5, 30};
+    const fleet_message decoded_question = decode(encode(question));
+    const auto& asked = std::get<quota_question_message>(decoded_question);
+    BOOST_TEST(asked.customer.value == "c");
+    BOOST_TEST(asked.quota.rate == 500);
+    BOOST_TEST(asked.question.number.value == 1ULL << 60U);
+    BOOST_TEST(asked.question.needed == 1114);
+    BOOST_TEST(asked.question.wanted == 2228.5);
+    BOOST_TEST(asked.question.returned == 30);
+    const fleet_message decoded_answer =
+        decode(encode(quota_answer_message{{"d"}, {"c"}, {{5}, 7.5, milliseconds(80)}}));
+    const auto& answered = std::get<quota_answer_message>(decoded_answer);
+    BOOST_TEST(answered.answer.granted == 7.5);
+    BOOST_TEST(answered.answer.retry_in.count() == 80);
+
     endpoint_load_message report;
     report.loads[{"i-1"}] = {3, 2400, {{{"base/a1"}, 2}}, {{{"base/a2"}, 5}}};
     report.questions[{"i-1"}] = {{7}, true};
--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -141,6 +141,7 @@
     brittle_endpoints brittle;
     link_monitor links;
     endpoint_load_reports loads;
+    customer_quotas quotas;
     request_flow flow;
     scripted_endpoint first;
     scripted_endpoint second;
@@ -205,8 +206,10 @@
               [this](const fleet_message& message)
               { load_broadcasts.push_back(message); },
               [](const daemon_id&, const endpoint_id&, const endpoint_load&) {}),
+          quotas(context, [this](const daemon_id&, const fleet_message& message)
+                 { sent.push_back(message); }),
           flow(context, callers, pool, guard, claims, permits, records, brittle, links,
-               loads,
+               loads, quotas,
                [this](const load_request_message& load)
                {
                    load_requests.push_back(load);
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -344,6 +344,18 @@
     put_store_item("op/config", written);
 }
 
+void fleet::write_customers(int version, const json& customers) const
+{
+    json written = configuration(version);
+    written["tenants"] = customers;
+    put_store_item("op/config", written);
+}
+
+json fleet::service_counts() const
+{
+    return standin_counts(service_endpoint_address_);
+}
+
 json fleet::engine_counts(int engine) const
 {
     return standin_counts(engine_addresses_.at(static_cast<std::size_t>(engine)));
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -132,6 +132,11 @@
     void write_idle_limit(int version, std::chrono::milliseconds limit,
                           int unused_routes = 0) const;
 
+    // Writes a configuration with these customers, in the platform's form.
+    void write_customers(int version, const nlohmann::json& customers) const;
+    // The counters of the plain endpoint.
+    nlohmann::json service_counts() const;
+
     // Sends a request to a plain service through the platform's own interface.
     http_response send_platform_request(int daemon, const std::string& request_id,
                                         const std::string& path = "/orders/1") const;
--- a/tests/standins/service_endpoint_standin.cpp
+++ b/tests/standins/service_endpoint_standin.cpp
@@ -63,6 +63,10 @@
                 return;
             }
             ++executions_by_request_[request_id];
+            if (request.has_header("Authorization"))
+                ++calls_with_credentials_;
+            if (request.has_header("X-Pollenhaven-Tenant"))
+                customers_.insert(request.get_header_value("X-Pollenhaven-Tenant"));
             if (!key.empty())
                 ++executions_by_key_[key];
             delay_ms = delay_ms_;
@@ -90,6 +94,8 @@
         return {{"runs", executions_by_request_.size()},
                 {"most_runs", max_executions},
                 {"carried_out", executions_by_key_},
+                {"with_credentials", calls_with_credentials_},
+                {"customers", customers_},
                 {"arrivals", arrivals_ms_}};
     }
 
@@ -110,6 +116,8 @@
     std::mutex mutex_;
     std::map<std::string, int> executions_by_request_;
     std::map<std::string, int> executions_by_key_;
+    int calls_with_credentials_ = 0;
+    std::set<std::string> customers_;
     int delay_ms_ = 0;
     int responses_to_lose_ = 0;
     bool rejects_calls_ = false;
