A bound on loads from the weight store over all engines

Callers saw: where demand moves to many adapters at once, none came in time.

Cause: each engine limits its own loads; with 90 engines nothing bounds or orders them over the fleet.

Requests that ended without a load count when the adapter is asked for again.

--- a/policy/fleet/engine_orders.cpp
+++ b/policy/fleet/engine_orders.cpp
@@ -1,5 +1,7 @@
 #include "policy/fleet/engine_orders.hpp"
 
+#include "policy/fleet/store_load_admission.hpp"
+
 #include <algorithm>
 #include <cmath>
 
@@ -34,6 +36,10 @@
 // there is a pause, because the engine is probably down.
 constexpr int max_immediate_retries = 4;
 
+// Bounds what an engine's holder remembers of adapters that it didn't load.
+constexpr std::size_t max_unserved_adapters = 1024;
+constexpr double min_unserved_requests = 0.2;
+
 double decayed_requests_at(const adapter_slot& slot, instant now)
 {
     if (slot.last_used == instant{})
@@ -42,8 +48,42 @@
            std::exp2(-to_seconds(now - slot.last_used) / request_half_life_s);
 }
 
+int waiting_count(const pending_load& pending)
+{
+    int count = 0;
+    for (const auto& [daemon, requests] : pending.waiting)
+        count += requests.count;
+    return count;
+}
+
+double unserved_at(const engine_state& engine, const adapter_id& adapter, instant now)
+{
+    const auto found = engine.unserved.find(adapter);
+    if (found == engine.unserved.end())
+        return 0;
+    return found->second.count *
+           std::exp2(-to_seconds(now - found->second.counted_at) / request_half_life_s);
+}
+
+void record_unserved(engine_state& engine, const adapter_id& adapter,
+                     const pending_load& pending, instant now)
+{
+    const double count = unserved_at(engine, adapter, now) + waiting_count(pending);
+    engine.unserved[adapter] = {count, now};
+    if (engine.unserved.size() <= max_unserved_adapters)
+        return;
+    std::erase_if(
+        engine.unserved, [&](const auto& entry)
+        { return unserved_at(engine, entry.first, now) < min_unserved_requests; });
+    if (engine.unserved.size() > max_unserved_adapters)
+        engine.unserved.erase(engine.unserved.begin());
+}
+
 void remove_expired_loads(engine_state& engine, instant now)
 {
+    for (const auto& [adapter, pending] : engine.pending_loads)
+        if (now - pending.last_requested_at > pending_load_lifetime && !pending.replica)
+            record_unserved(engine, adapter, pending, now);
     std::erase_if(engine.pending_loads,
                   [now](const auto& entry) {
                       return now - entry.second.last_requested_at > pending_load_lifetime;
@@ -180,6 +220,13 @@
     const bool from_store = loads_from_store(engine, adapter, pending->second.version);
     if (load_limit_reached(engine, from_store, loads_in_progress, timing, now))
         return {};
+    const bool is_bounded =
+        from_store &&
+        needs_common_bound(timing.load_times, timing.engines, timing.store_loads_at_once);
+    if (is_bounded && !may_begin_store_load(timing.load_times, loads_in_progress,
+                                            waiting_count(pending->second) +
+                                                unserved_at(engine, adapter, now)))
+        return {};
     const auto current = engine.slots.find(adapter);
     if (current != engine.slots.end() && current->second.state == slot_state::unloading)
         return {};
@@ -238,6 +285,7 @@
         set_expected_completion(engine, slot, loads_in_progress, timing, now);
     engine.previously_loaded.insert(order.adapter);
     engine.pending_loads.erase(order.adapter);
+    engine.unserved.erase(order.adapter);
 }
 
 void record_unload(engine_state& engine, const engine_order& order, bool complete)
--- a/policy/fleet/engine_orders.hpp
+++ b/policy/fleet/engine_orders.hpp
@@ -89,11 +89,20 @@
     int burst_store_loads = 2;
     // Limit on concurrent loads of any kind at one engine.
     int loads_at_once = 4;
+    // The engines that load from the same store, as far as known.
+    int engines = 0;
     // Daemons report their use of adapters from time to time. An adapter that was used
     // within this time may be in use by a daemon that has not reported it yet.
     milliseconds recent_use_window{400};
 };
 
+// Requests that waited for an adapter and ended without it, with exponential decay.
+struct unserved_requests
+{
+    double count = 0;
+    instant counted_at{};
+};
+
 // The holder's state of one of its engines. Each order contains the number of orders that
 // the engine has accepted so far, so that an order without a response that is executed
 // late cannot take effect after a newer one.
@@ -112,6 +121,8 @@
     std::optional<std::uint64_t> accepted_orders;
     std::map<adapter_id, adapter_slot> slots;
     std::map<adapter_id, pending_load> pending_loads;
+    // Adapters whose pending loads expired.
+    std::map<adapter_id, unserved_requests> unserved;
     // Adapters that the engine had loaded at some time. They load from its own memory.
     std::set<adapter_id> previously_loaded;
     std::optional<engine_order> outstanding_order;
--- a/servers/gateway/engine_controller.cpp
+++ b/servers/gateway/engine_controller.cpp
@@ -306,6 +306,7 @@
 {
     engine_timing timing = context_.settings.load_timing;
     timing.load_times = context_.fleet.load_times;
+    timing.engines = context_.fleet.held_engines;
     return timing;
 }
 
