The directory lists daemons by their cores, and draws when there are more than 64

Callers saw: with more than 64 daemons the directory listed the first 64 by name, so that of 89 daemons 25 never got a caller, nearly all of one availability zone. Daemons of 0.09 cores got as many callers as those of 0.5.

Cause: caller_addresses stopped at the platform's limit, and knew nothing of sizes.

Change: a member entry states the daemon's cores; a response holds a daemon with the probability of its cores relative to the largest one's, at least 8 addresses and at most 64 that are drawn. Equal daemons, up to 64, are all listed as before.

--- a/policy/fleet/fleet_view.cpp
+++ b/policy/fleet/fleet_view.cpp
@@ -1,5 +1,6 @@
 #include "policy/fleet/fleet_view.hpp"
 
+#include "policy/fleet/caller_shares.hpp"
 #include "policy/rendezvous.hpp"
 
 #include <algorithm>
@@ -37,8 +38,6 @@
 // Weight of a new sample in the moving averages.
 constexpr double sample_weight = 0.2;
 constexpr double failure_share_half_life_s = 2.0;
-// The platform's limit on addresses in one directory response.
-constexpr std::size_t max_directory_addresses = 64;
 
 bool is_fresh(const peer_load& load, instant now)
 {
@@ -388,7 +387,8 @@
     return member.ready && !member.leaving && is_up;
 }
 
-std::vector<network_address> caller_addresses(const fleet_view& fleet, instant now)
+std::vector<network_address> caller_addresses(const fleet_view& fleet, std::uint64_t draw,
+                                              instant now)
 {
     std::vector<const member_view*> usable;
     for (const auto& [id, member] : fleet.members)
@@ -399,12 +399,11 @@
         std::count_if(usable.begin(), usable.end(),
                       [](const member_view* member) { return member->cut_off; });
     const bool leaves_out_cut_off = 2 * cut_off <= std::ssize(usable);
-    std::vector<network_address> addresses;
+    std::vector<listed_daemon> listed;
     for (const member_view* const member : usable)
-        if (!(member->cut_off && leaves_out_cut_off) &&
-            addresses.size() < max_directory_addresses)
-            addresses.push_back(member->caller_address);
-    return addresses;
+        if (!(member->cut_off && leaves_out_cut_off))
+            listed.push_back({member->id, member->caller_address, member->cores});
+    return draw_addresses(listed, draw);
 }
 
 } // namespace pollenhaven
--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -26,6 +26,8 @@
     network_address caller_address;
     network_address peer_address;
     std::string zone;
+    // The part of a processor core, or the number of cores, that the member may use.
+    double cores = 1;
     incarnation_id incarnation;
     // The version of the messages that the member understands (zone_relay.hpp).
     int message_version = 1;
@@ -324,10 +326,11 @@
 // arrive, any other one while it has a lease.
 bool is_usable_by_callers(const member_view& member, instant now);
 
-// Returns the addresses of the daemons that callers may use, including this one if it is
-// ready. Those that reach no endpoint are left out unless they are more than half of all,
+// Returns the addresses of one directory response, which `draw` identifies: of the daemons
+// that callers may use, including this one if it is ready. Those that reach no endpoint are left out unless they are more than half of all,
 // whose load the others shouldn't get at once.
-std::vector<network_address> caller_addresses(const fleet_view& fleet, instant now);
+std::vector<network_address> caller_addresses(const fleet_view& fleet, std::uint64_t draw,
+                                              instant now);
 
 } // namespace pollenhaven
 
--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -69,6 +69,22 @@
     }
 }
 
+// Returns the cores that an entry states; none if it states no valid number.
+std::optional<double> cores_field(const nlohmann::json& entry)
+{
+    constexpr double max_cores = 1024;
+    if (!entry.is_object() || !entry.contains("cores"))
+        return std::nullopt;
+    try
+    {
+        return checked_number(entry["cores"], 0, max_cores);
+    }
+    catch (const std::exception&)
+    {
+        return std::nullopt;
+    }
+}
+
 std::optional<holder_record> decode_holder(const store_item& item)
 {
     const nlohmann::json entry = parse_json_or_null(item.value);
@@ -112,6 +128,7 @@
     self.caller_address = context_.settings.caller_address;
     self.peer_address = context_.settings.peer_address;
     self.zone = context_.settings.zone;
+    self.cores = context_.settings.cores;
     watch_.retain_items();
     watch_.on_resync([this]
                      { restart_takeover_timers(context_.fleet, boot_clock::now()); });
@@ -260,6 +277,7 @@
     const nlohmann::json value{{"callers", context_.settings.caller_address.value},
                                {"peers", context_.settings.peer_address.value},
                                {"zone", context_.settings.zone},
+                               {"cores", context_.settings.cores},
                                {"incarnation", context_.incarnation.value},
                                {"messages", message_version}};
     store_transaction transaction;
@@ -434,7 +452,8 @@
     member.caller_address = callers;
     member.peer_address = peers;
     member.zone = string_field(entry, "zone");
-    // Daemons of earlier releases state none.
+    // Daemons of earlier releases state neither of these.
+    member.cores = cores_field(entry).value_or(context_.settings.cores);
     member.message_version = integer_field(entry, "messages").value_or(1);
     member.leased = true;
     member.known_from_store = true;
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -317,7 +317,7 @@
     constexpr int status_ok = 200;
     constexpr int status_unavailable = 503;
     const std::vector<network_address> addresses =
-        caller_addresses(context_.fleet, context_.loop.now());
+        caller_addresses(context_.fleet, random_(), context_.loop.now());
     if (addresses.empty())
         return caller_server_.send_error(
             caller, {verdict::not_run, status_unavailable, "no_daemon",
--- a/servers/gateway/gateway_settings.cpp
+++ b/servers/gateway/gateway_settings.cpp
@@ -15,6 +15,9 @@
     settings.zone = reader.required_text("zone");
     constexpr double max_memory_mb = 1e6;
     settings.memory_mb = reader.real("memory_mb", settings.memory_mb, 1, max_memory_mb);
+    constexpr double min_cores = 0.001;
+    constexpr double max_cores = 1024;
+    settings.cores = reader.real("cores", settings.cores, min_cores, max_cores);
     settings.dialect = reader.text("dialect", settings.dialect);
     settings.caller_interface =
         reader.text("caller_interface", settings.caller_interface);
--- a/servers/gateway/gateway_settings.hpp
+++ b/servers/gateway/gateway_settings.hpp
@@ -21,6 +21,8 @@
     std::string zone;
     // The memory that this process may use, in MB.
     double memory_mb = 160;
+    // The part of a processor core, or the number of cores, that this process may use.
+    double cores = 1;
     network_address caller_address;
     network_address readiness_address;
     // Address at which callers fetch the list of daemon addresses.
--- a/tests/policy/endpoint_links_test.cpp
+++ b/tests/policy/endpoint_links_test.cpp
@@ -147,11 +147,11 @@
 {
     fleet_view fleet = fleet_with(1, 4);
     fleet.members.at({"daemon-1"}).cut_off = true;
-    BOOST_TEST(caller_addresses(fleet, now).size() == 3U);
+    BOOST_TEST(caller_addresses(fleet, 1, now).size() == 3U);
     fleet.members.at({"daemon-0"}).cut_off = true;
-    BOOST_TEST(caller_addresses(fleet, now).size() == 2U);
+    BOOST_TEST(caller_addresses(fleet, 1, now).size() == 2U);
     fleet.members.at({"daemon-2"}).cut_off = true;
-    BOOST_TEST(caller_addresses(fleet, now).size() == 4U);
+    BOOST_TEST(caller_addresses(fleet, 1, now).size() == 4U);
 }
 
 // Guards against loads that nobody can order, because the holder of the engine is cut
--- a/tests/policy/fleet_dispatch_test.cpp
+++ b/tests/policy/fleet_dispatch_test.cpp
@@ -350,19 +350,19 @@
         member.sends_each_heartbeat = true;
         member.caller_address = {id.value};
     }
-    BOOST_TEST(caller_addresses(fleet, now).size() == 8U);
+    BOOST_TEST(caller_addresses(fleet, 1, now).size() == 8U);
     fleet.members[{"daemon-1"}].leaving = true;
     fleet.members[{"daemon-2"}].ready = false;
     fleet.members[{"daemon-3"}].last_message_at = now - seconds(3);
-    BOOST_TEST(caller_addresses(fleet, now).size() == 5U);
+    BOOST_TEST(caller_addresses(fleet, 1, now).size() == 5U);
     // A member that isn't a neighbour is heard seldom; its lease shows that it is up.
     member_view& remote = fleet.members[{"daemon-4"}];
     remote.last_message_at = now - seconds(30);
     remote.sends_each_heartbeat = false;
     remote.leased = true;
-    BOOST_TEST(caller_addresses(fleet, now).size() == 5U);
+    BOOST_TEST(caller_addresses(fleet, 1, now).size() == 5U);
     remote.leased = false;
-    BOOST_TEST(caller_addresses(fleet, now).size() == 4U);
+    BOOST_TEST(caller_addresses(fleet, 1, now).size() == 4U);
 }
 
 BOOST_AUTO_TEST_CASE(all_daemons_together_stay_within_the_retry_budget)
