--- a/tests/process/customers_test.cpp
+++ b/tests/process/customers_test.cpp
@@ -40,6 +40,21 @@
     return true;
 }
 
+// Waits until all daemons have the configuration. Before, they pass callers' fields on.
+bool is_in_force(const fleet& deployment, int version)
+{
+    return fleet::wait_for(
+        [&]
+        {
+            for (int daemon = 0; daemon < deployment.daemon_count(); ++daemon)
+                if (deployment.read_operator_report(
+                        daemon, "status")["configuration_version"] != version)
+                    return false;
+            return true;
+        },
+        seconds(5));
+}
+
 // Sends requests to all daemons for a time and returns how many ran.
 int run_requests(const fleet& deployment, const std::string& key, milliseconds time)
 {
@@ -63,8 +78,8 @@
     options.proxy_store = true;
     fleet deployment(options);
     deployment.write_customers(2, json::array({customer("a", {"k1", "k2"}, 0)}));
-    BOOST_TEST(fleet::wait_for([&] { return all_answer(deployment, "k1", status_ok); },
-                               seconds(3)));
+    BOOST_REQUIRE(is_in_force(deployment, 2));
+    BOOST_TEST(all_answer(deployment, "k1", status_ok));
     set_store_link(deployment, 2, "cut");
     std::this_thread::sleep_for(seconds(2));
     deployment.write_customers(3, json::array({customer("a", {"k2"}, 0)}));
@@ -93,8 +108,8 @@
     constexpr int rate = 10;
     fleet deployment;
     deployment.write_customers(2, json::array({customer("a", {"k1"}, rate)}));
-    BOOST_TEST(fleet::wait_for(
-        [&] { return all_answer(deployment, "k2", status_unauthorized); }, seconds(5)));
+    BOOST_REQUIRE(is_in_force(deployment, 2));
+    BOOST_TEST(all_answer(deployment, "k2", status_unauthorized));
     const auto began = std::chrono::steady_clock::now();
     int ran = run_requests(deployment, "k1", milliseconds(1500));
     BOOST_TEST(ran >= rate);
