--- a/servers/gateway/gateway_reports.hpp
+++ b/servers/gateway/gateway_reports.hpp
@@ -26,8 +26,8 @@
 // Updates the gauges that are computed only when the metrics are read.
 void update_gauges(gateway_context& context, const gateway_activity& activity);
 
-// Returns the named report for operators as JSON: status, endpoints, adapters, members or customers.
-// Returns none for any other name.
+// Returns the named report for operators as JSON: status, endpoints, adapters, members or
+// customers. Returns none for any other name.
 std::optional<std::string> operator_report(const gateway_context& context,
                                            const std::string& name,
                                            const gateway_activity& activity);
