--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Builds the stand-ins that the scripts of review/6 to review/10 start, into target/review-2.
+# Builds the stand-ins that the scripts of review/6 to review/9 start, into target/review-2.
 # Run it in the repository after the build of the deploy file.
 set -e
 cd "$(dirname "$0")/.."
--- a/review/standins-2/lab.hpp
+++ b/review/standins-2/lab.hpp
@@ -1,4 +1,4 @@
-// A small lab for the scripts of review/6 to review/10: stand-ins for the platform's store,
+// A small lab for the scripts of review/6 to review/9: stand-ins for the platform's store,
 // for workers and for clients, and the daemons as processes of their own. Each stand-in keeps
 // to given/kit/more/system/PROTOCOL.md and SYSTEM.md. All addresses are loopback addresses.
 #pragma once
