--- a/review/standins-2/case-9.cpp
+++ b/review/standins-2/case-10.cc
@@ -1,7 +1,7 @@
-// review/9: the store turns two of six machines away, the two that watch it for their zone,
+// review/10: the store turns two of six machines away, the two that watch it for their zone,
 // and the operator writes a configuration. The third machine of the zone, which reaches the
 // store, goes on by the old one for longer than configApplyMs.
-#include "lab.hpp"
+#include "lab.h"
 
 using namespace lab;
 
--- a/review/standins-2/case-6.cpp
+++ b/review/standins-2/case-7.cc
@@ -1,8 +1,8 @@
-// review/6: a machine is killed soon after its start, while the answer to a write of its first
+// review/7: a machine is killed soon after its start, while the answer to a write of its first
 // process was lost. The store does that write late, after the second process has written its
 // own entry under a lease of its own, so that the entry ends with the lease of the first one.
 // The second process goes on; the others take it for gone. Both order the same new worker.
-#include "lab.hpp"
+#include "lab.h"
 
 using namespace lab;
 
--- a/review/standins-2/case-7.cpp
+++ b/review/standins-2/case-8.cc
@@ -1,7 +1,7 @@
-// review/7: clients that read slowly. A client with a small receive window reads a stream
+// review/8: clients that read slowly. A client with a small receive window reads a stream
 // steadily, some hundred bytes each tenth of a second, and would have it whole well within its
 // deadline. The worker has answered whole; the daemon's side resets the connection meanwhile.
-#include "lab.hpp"
+#include "lab.h"
 
 using namespace lab;
 
--- a/review/standins-2/case-8.cpp
+++ b/review/standins-2/case-9.cc
@@ -1,7 +1,7 @@
-// review/8: a configuration adds a route with the prefix /v1/. Requests of clients on it that
+// review/9: a configuration adds a route with the prefix /v1/. Requests of clients on it that
 // have the paths of the system's own readiness and directory calls, sent to the address for
 // clients, are answered by the daemon itself with 200 and reach no worker.
-#include "lab.hpp"
+#include "lab.h"
 
 using namespace lab;
 
