--- a/policy/fleet/stream_origin.cpp
+++ b/policy/fleet/stream_origin.cpp
@@ -135,11 +135,10 @@
 
 std::optional<software_version> version_for_new_stream(const fleet_view& fleet,
                                                        const service_id& service,
-                                                       milliseconds store_silence,
-                                                       instant now)
+                                                       milliseconds silence, instant now)
 {
     const base_version* const base = find_base(fleet, service);
-    if (base == nullptr || store_silence < max_silence_for_records ||
+    if (base == nullptr || silence < max_silence_for_records ||
         !is_version_serving(fleet, service, base->version, now))
         return std::nullopt;
     return base->version;
@@ -199,6 +198,16 @@
     return versions;
 }
 
+bool is_only_known_version(const fleet_view& fleet, const service_id& service,
+                           const software_version& version, instant now)
+{
+    return !knows_other_version(fleet, service, version, now) &&
+           std::none_of(
+               fleet.members.begin(), fleet.members.end(),
+               [&](const auto& entry)
+               { return states_other_version(entry.second, service, version, now); });
+}
+
 bool is_only_version(const fleet_view& fleet, const service_id& service,
                      const software_version& version, instant search_began, instant now)
 {
@@ -228,6 +237,8 @@
 {
     if (search.lookup == record_lookup::found)
         return {origin_source::record, search.recorded};
+    if (search.stated)
+        return {origin_source::members, *search.stated};
     const base_version* const base = find_base(fleet, service);
     if (search.lookup == record_lookup::absent && search.is_conclusive && base != nullptr)
         return {origin_source::base_version, base->version};
--- a/policy/fleet/stream_origin.hpp
+++ b/policy/fleet/stream_origin.hpp
@@ -40,7 +40,9 @@
     record,
     base_version,
     // Endpoints of only one version are known.
-    only_version
+    only_version,
+    // The members, of which one began the stream or holds a copy of its record.
+    members
 };
 
 // What is known about a stream that a caller resumes, apart from the fleet.
@@ -51,9 +53,11 @@
     record_lookup lookup = record_lookup::unanswered;
     // The version in the record; undefined unless it was found.
     software_version recorded;
-    // False if the store may have lost records, or this daemon doesn't know its base
+    // False if the store may have lost the record, or this daemon doesn't know its base
     // versions yet.
     bool is_conclusive = false;
+    // The version that the members have stated (stream_copies.hpp); none if they haven't.
+    std::optional<software_version> stated;
 };
 
 // A stream of which the store hasn't confirmed the record in time. No event of it has
@@ -106,13 +110,13 @@
                                              const service_id& service,
                                              const late_record& late, instant now);
 
-// Returns the version to which a new stream is restricted: the base version if the store,
-// silent for the time `store_silence`, may not take a record and engines of that version
-// serve. None if it may begin at any version.
+// Returns the version to which a new stream is restricted: the base version if the store
+// may not take a record, or no peer its copy, and engines of that version serve. None if
+// it may begin at any version. `silence` is the time for which the store or the peers
+// have confirmed nothing.
 std::optional<software_version> version_for_new_stream(const fleet_view& fleet,
                                                        const service_id& service,
-                                                       milliseconds store_silence,
-                                                       instant now);
+                                                       milliseconds silence, instant now);
 
 // Returns the version that the store should have as the service's base version, if it has
 // another one or none. The base version changes only when no endpoint has run it since
@@ -143,6 +147,11 @@
 bool is_only_version(const fleet_view& fleet, const service_id& service,
                      const software_version& version, instant search_began, instant now);
 
+// Returns true if neither this daemon nor a member whose statement it has knows a version
+// of the service besides this one.
+bool is_only_known_version(const fleet_view& fleet, const service_id& service,
+                           const software_version& version, instant now);
+
 // Returns the version that began a stream which this daemon doesn't know itself.
 stream_origin locate_stream(const fleet_view& fleet, const service_id& service,
                             const stream_search& search, instant now);
--- a/policy/fleet/zone_relay.hpp
+++ b/policy/fleet/zone_relay.hpp
@@ -14,8 +14,9 @@
 // work is spread over all members, and a relay that is paused delays only few messages.
 
 // The version of the messages between daemons that this release sends. Daemons from
-// version 2 on relay messages.
-constexpr int message_version = 2;
+// version 2 on relay messages, and those from version 3 on hold copies of the records of
+// streams (stream_copies.hpp).
+constexpr int message_version = 3;
 
 struct relay_plan
 {
--- a/servers/gateway/fleet_messages.cpp
+++ b/servers/gateway/fleet_messages.cpp
@@ -353,6 +353,48 @@
             {"retry", message.answer.retry_in.count()}};
 }
 
+json encode_body(const stream_copies_message& message)
+{
+    json copies = json::array();
+    for (const sent_copy& copy : message.copies)
+        copies.push_back({copy.stream.value, copy.version.value, copy.number.value});
+    return {{"kind", "copies"},
+            {"from", message.sender.value},
+            {"start", message.incarnation.value},
+            {"copies", copies}};
+}
+
+json encode_body(const stream_copies_receipt& message)
+{
+    json streams = json::array();
+    for (const auto& [stream, number] : message.streams)
+        streams.push_back({stream.value, number.value});
+    return {{"kind", "kept"}, {"from", message.sender.value}, {"streams", streams}};
+}
+
+json encode_body(const stream_question_message& message)
+{
+    return {{"kind", "whose"},
+            {"from", message.sender.value},
+            {"stream", message.stream.value}};
+}
+
+json encode_body(const stream_statement_message& message)
+{
+    json body{{"kind", "begun"},
+              {"from", message.sender.value},
+              {"stream", message.stream.value},
+              {"uptime", message.statement.uptime.count()}};
+    if (message.statement.own)
+        body["own"] = message.statement.own->value;
+    if (message.statement.copy)
+        body["copy"] = {message.statement.copy->writer.value,
+                        message.statement.copy->incarnation.value,
+                        message.statement.copy->number.value,
+                        message.statement.copy->version.value};
+    return body;
+}
+
 json encode_body(const permit_message& message)
 {
     return {{"kind", "permit"},
@@ -666,6 +708,49 @@
     return message;
 }
 
+stream_copies_message decode_stream_copies(const json& body)
+{
+    stream_copies_message message;
+    message.incarnation = {body.at("start").get<std::string>()};
+    for (const json& copy : body.at("copies"))
+        message.copies.push_back({{copy.at(0).get<std::string>()},
+                                  {copy.at(1).get<std::string>()},
+                                  {decode_unsigned(copy.at(2))}});
+    return message;
+}
+
+stream_copies_receipt decode_stream_receipt(const json& body)
+{
+    stream_copies_receipt message;
+    for (const json& entry : body.at("streams"))
+        message.streams.push_back(
+            {{entry.at(0).get<std::string>()}, {decode_unsigned(entry.at(1))}});
+    return message;
+}
+
+stream_question_message decode_stream_question(const json& body)
+{
+    return {{}, {body.at("stream").get<std::string>()}};
+}
+
+stream_statement_message decode_stream_statement(const json& body)
+{
+    stream_statement_message message;
+    message.stream = {body.at("stream").get<std::string>()};
+    message.statement.uptime = decode_duration(body.at("uptime"));
+    if (body.contains("own"))
+        message.statement.own = software_version{body.at("own").get<std::string>()};
+    if (body.contains("copy"))
+    {
+        const json& copy = body.at("copy");
+        message.statement.copy = stream_copy{{copy.at(0).get<std::string>()},
+                                             {copy.at(1).get<std::string>()},
+                                             {decode_unsigned(copy.at(2))},
+                                             {copy.at(3).get<std::string>()}};
+    }
+    return message;
+}
+
 fleet_message decode_body(const json& body)
 {
     const std::string kind = body.at("kind").get<std::string>();
@@ -703,6 +788,14 @@
         return decode_quota_question(body);
     if (kind == "granted")
         return decode_quota_answer(body);
+    if (kind == "copies")
+        return decode_stream_copies(body);
+    if (kind == "kept")
+        return decode_stream_receipt(body);
+    if (kind == "whose")
+        return decode_stream_question(body);
+    if (kind == "begun")
+        return decode_stream_statement(body);
     throw std::runtime_error("the message kind '" + kind + "' is unknown");
 }
 
--- a/servers/gateway/fleet_messages.hpp
+++ b/servers/gateway/fleet_messages.hpp
@@ -11,6 +11,7 @@
 #include "policy/fleet/load_time_model.hpp"
 #include "policy/fleet/prompt_part_crashes.hpp"
 #include "policy/fleet/request_limit.hpp"
+#include "policy/fleet/stream_copies.hpp"
 #include "servers/gateway/store/watch_news.hpp"
 
 #include <map>
@@ -300,13 +301,49 @@
     quota_answer answer;
 };
 
-using fleet_message =
-    std::variant<heartbeat_message, endpoint_load_message, inventory_message,
-                 load_queue_message, load_request_message, suspects_message,
-                 prompt_parts_message, sync_request_message, sync_chunk_message,
-                 endpoint_limit_message, permit_request_message, permit_message,
-                 endpoint_room_message, stated_load_message, store_changes_message,
-                 quota_question_message, quota_answer_message>;
+struct sent_copy
+{
+    stream_key stream;
+    software_version version;
+    copy_number number;
+};
+
+// Copies of the records of the sender's streams, for the receiver to hold.
+struct stream_copies_message
+{
+    daemon_id sender;
+    incarnation_id incarnation;
+    std::vector<sent_copy> copies;
+};
+
+// Confirms copies, by stream and number.
+struct stream_copies_receipt
+{
+    daemon_id sender;
+    std::vector<std::pair<stream_key, copy_number>> streams;
+};
+
+// Asks a member what it knows of a stream.
+struct stream_question_message
+{
+    daemon_id sender;
+    stream_key stream;
+};
+
+struct stream_statement_message
+{
+    daemon_id sender;
+    stream_key stream;
+    stream_statement statement;
+};
+
+using fleet_message = std::variant<
+    heartbeat_message, endpoint_load_message, inventory_message, load_queue_message,
+    load_request_message, suspects_message, prompt_parts_message, sync_request_message,
+    sync_chunk_message, endpoint_limit_message, permit_request_message, permit_message,
+    endpoint_room_message, stated_load_message, store_changes_message,
+    quota_question_message, quota_answer_message, stream_copies_message,
+    stream_copies_receipt, stream_question_message, stream_statement_message>;
 
 // Encodes a message as MessagePack with a format version.
 std::string encode(const fleet_message& message);
--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -24,7 +24,7 @@
 #include "servers/gateway/request_permits.hpp"
 #include "servers/gateway/store/change_publisher.hpp"
 #include "servers/gateway/store_sync.hpp"
-#include "servers/gateway/stream_records.hpp"
+#include "servers/gateway/streams/stream_records.hpp"
 
 #include <csignal>
 #include <filesystem>
@@ -106,6 +106,8 @@
     void send_directory(stream_id caller, const directory_writer& write);
     void on_datagram(std::string_view bytes);
     void handle_message(const fleet_message& message);
+    // Handles the messages about copies of streams' records.
+    void handle_stream_message(const fleet_message& message);
     void dispatch_waiting();
     // Dispatches the requests that wait for an adapter of the inventory.
     void dispatch_waiting_for(const inventory_message& inventory);
@@ -208,7 +210,10 @@
       base_versions_(context_, [this] { return membership_.watch().is_loaded(); }),
       block_records_(context_, guard_.prompt_parts(),
                      [this] { return membership_.watch().is_loaded(); }),
-      records_(context_, [this] { return membership_.watch().is_loaded(); }),
+      records_(
+          context_, [this] { return membership_.watch().is_loaded(); },
+          [this](const daemon_id& member, const fleet_message& message)
+          { send_to_member(member, message); }),
       brittle_(context_, [this](const fleet_message& message) { broadcast(message); }),
       links_(context_, pool_,
              [this]
@@ -390,6 +395,20 @@
         quotas_.on_question(*question);
     else if (const auto* answer = std::get_if<quota_answer_message>(&message))
         quotas_.on_answer(*answer);
+    else
+        handle_stream_message(message);
+}
+
+void gateway::handle_stream_message(const fleet_message& message)
+{
+    if (const auto* copies = std::get_if<stream_copies_message>(&message))
+        records_.copies().on_copies(*copies);
+    else if (const auto* receipt = std::get_if<stream_copies_receipt>(&message))
+        records_.copies().on_receipt(*receipt);
+    else if (const auto* question = std::get_if<stream_question_message>(&message))
+        records_.on_question(*question);
+    else if (const auto* statement = std::get_if<stream_statement_message>(&message))
+        records_.on_statement(*statement);
 }
 
 void gateway::dispatch_waiting()
--- a/servers/gateway/gateway_context.hpp
+++ b/servers/gateway/gateway_context.hpp
@@ -43,6 +43,8 @@
     // The configuration in force; null until one has been received.
     std::shared_ptr<const routing_table> routing;
     incarnation_id incarnation;
+    // When the process started.
+    instant started = boot_clock::now();
     // Observations of loads that the next heartbeat sends to the peers.
     std::vector<load_observation> load_observations;
     // True after SIGTERM or SIGINT, while the daemon shuts down.
--- a/servers/gateway/gateway_statistics.cpp
+++ b/servers/gateway/gateway_statistics.cpp
@@ -8,10 +8,12 @@
 
 // In the order of the alternatives of fleet_message.
 constexpr std::array<std::string_view, std::variant_size_v<fleet_message>> kind_names{
-    "heartbeat",      "endpoint_load", "inventory",     "load_queue",  "load_request",
-    "suspects",       "prompt_parts",  "sync_request",  "sync_chunk",  "endpoint_limit",
-    "permit_request", "permit",        "endpoint_room", "stated_load", "store_changes",
-    "quota_question", "quota_answer"};
+    "heartbeat",       "endpoint_load",  "inventory",      "load_queue",
+    "load_request",    "suspects",       "prompt_parts",   "sync_request",
+    "sync_chunk",      "endpoint_limit", "permit_request", "permit",
+    "endpoint_room",   "stated_load",    "store_changes",  "quota_question",
+    "quota_answer",    "stream_copies",  "stream_receipt", "stream_question",
+    "stream_statement"};
 
 void report_counts(gateway_context& context, const std::string& direction,
                    const counts_by_kind& counts)
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -205,9 +205,8 @@
     query.prompt_tokens = exchange.request.prompt_tokens;
     query.software = exchange.software;
     if (!query.software && is_resumable(exchange))
-        query.software =
-            version_for_new_stream(context_.fleet, exchange.service,
-                                   store_silence(context_), context_.loop.now());
+        query.software = version_for_new_stream(context_.fleet, exchange.service,
+                                                records_.silence(), context_.loop.now());
     return query;
 }
 
--- a/servers/gateway/request_flow.hpp
+++ b/servers/gateway/request_flow.hpp
@@ -15,7 +15,7 @@
 #include "servers/gateway/link_monitor.hpp"
 #include "servers/gateway/loads/endpoint_load_reports.hpp"
 #include "servers/gateway/request_permits.hpp"
-#include "servers/gateway/stream_records.hpp"
+#include "servers/gateway/streams/stream_records.hpp"
 
 #include <functional>
 #include <map>
--- a/servers/gateway/request_flow_streams.cpp
+++ b/servers/gateway/request_flow_streams.cpp
@@ -136,7 +136,8 @@
 void request_flow::remember_stream_version(http_exchange& exchange)
 {
     exchange.software = exchange.attempt_software;
-    records_.remember(stream_id_of(exchange), exchange.attempt_software);
+    records_.remember(stream_id_of(exchange), exchange.service,
+                      exchange.attempt_software);
 }
 
 void request_flow::begin_stream(http_exchange& exchange)
--- a/servers/gateway/stream_records.cpp
+++ b/servers/gateway/streams/stream_records.cpp
@@ -1,4 +1,4 @@
-#include "servers/gateway/stream_records.hpp"
+#include "servers/gateway/streams/stream_records.hpp"
 
 #include "core/json_text.hpp"
 
@@ -25,25 +25,39 @@
 constexpr std::size_t removals_per_write = 30;
 constexpr milliseconds listing_interval{60'000};
 
-std::string encode_record(const request_id& stream, const software_version& version)
+std::string encode_record(const software_version& version)
 {
-    return write_json({{"stream", stream.value}, {"version", version.value}});
+    return write_json({{"version", version.value}});
 }
 
 } // namespace
 
-stream_records::stream_records(gateway_context& context, loaded_check is_loaded)
-    : context_(context), is_loaded_(std::move(is_loaded)), writer_(context),
-      reader_(context), searches_(context, is_loaded_)
+stream_records::stream_records(gateway_context& context, loaded_check is_loaded,
+                               const send_function& send)
+    : context_(context), is_loaded_(std::move(is_loaded)), send_(send), writer_(context),
+      reader_(context), copies_(context, send),
+      searches_(context, is_loaded_, send,
+                [this](const stream_key& stream) { return statement_of(stream); })
 {
 }
 
 void stream_records::record(const request_id& stream, const software_version& version,
                             recorded_handler done)
 {
-    known_[stream] = {version, context_.loop.now(), false, true};
-    pending_.push_back({stream, version, context_.loop.now(), std::move(done)});
+    const stream_key key = key_of_stream(stream);
+    known_[key] = {version, context_.loop.now(), false, true};
+    uncopied_[key] = {key, version, context_.loop.now(), std::move(done)};
     context_.loop.schedule_after(max_record_wait, [this] { release_late_streams(); });
+    copies_.copy(key, version, [this, key] { release_record(key); });
+}
+
+void stream_records::release_record(const stream_key& stream)
+{
+    const auto found = uncopied_.find(stream);
+    if (found == uncopied_.end())
+        return;
+    pending_.push_back(std::move(found->second));
+    uncopied_.erase(found);
     schedule_write();
 }
 
@@ -77,9 +91,8 @@
     {
         batch.push_back(std::move(pending_.front()));
         pending_.pop_front();
-        transaction.writes.push_back(
-            {stream_record_key(batch.back().stream),
-             encode_record(batch.back().stream, batch.back().version), 0});
+        transaction.writes.push_back({stream_record_key(batch.back().stream),
+                                      encode_record(batch.back().version), 0});
     }
     std::vector<std::string> removals;
     while (!removals_.empty() && batch.size() + removals.size() < max_batch_entries)
@@ -143,23 +156,42 @@
 
 void stream_records::release_late_streams()
 {
-    const instant now = context_.loop.now();
-    std::vector<recorded_handler> released;
+    std::vector<recorded_handler> late;
     for (pending_record& entry : pending_)
+        take_late_handlers(entry, late);
+    std::vector<stream_key> uncopied;
+    for (auto& [stream, entry] : uncopied_)
     {
-        if (!entry.done || now - entry.requested_at < max_record_wait)
-            continue;
-        context_.log.write("stream record late",
-                           {{"request", entry.stream.value},
-                            {"software", entry.version.value},
-                            {"sent", std::int64_t{may_be_written(entry.stream)}}});
-        released.push_back(std::exchange(entry.done, nullptr));
+        take_late_handlers(entry, late);
+        if (!entry.done)
+            uncopied.push_back(stream);
     }
-    for (const recorded_handler& done : released)
+    // Their streams may go on without a record, and a late one is better than none.
+    for (const stream_key& stream : uncopied)
+        release_record(stream);
+    for (const recorded_handler& done : late)
         done(false);
 }
 
+void stream_records::take_late_handlers(pending_record& entry,
+                                        std::vector<recorded_handler>& late)
+{
+    if (!entry.done || context_.loop.now() - entry.requested_at < max_record_wait)
+        return;
+    context_.log.write("stream record late",
+                       {{"stream", entry.stream.value},
+                        {"software", entry.version.value},
+                        {"copied", std::int64_t{!uncopied_.contains(entry.stream)}},
+                        {"sent", std::int64_t{may_be_written(entry.stream)}}});
+    late.push_back(std::exchange(entry.done, nullptr));
+}
+
 bool stream_records::may_be_written(const request_id& stream) const
+{
+    return may_be_written(key_of_stream(stream));
+}
+
+bool stream_records::may_be_written(const stream_key& stream) const
 {
     const auto known = known_.find(stream);
     return known != known_.end() && known->second.may_be_written;
@@ -167,32 +199,73 @@
 
 void stream_records::withdraw(const request_id& stream)
 {
-    known_.erase(stream);
+    const stream_key key = key_of_stream(stream);
+    known_.erase(key);
+    uncopied_.erase(key);
+    copies_.withdraw(key);
     std::erase_if(pending_,
-                  [&](const pending_record& entry) { return entry.stream == stream; });
+                  [&](const pending_record& entry) { return entry.stream == key; });
 }
 
-void stream_records::remember(const request_id& stream, const software_version& version)
+void stream_records::remember(const request_id& stream, const service_id& service,
+                              const software_version& version)
 {
-    known_stream& known = known_[stream];
+    const stream_key key = key_of_stream(stream);
+    known_stream& known = known_[key];
     known.version = version;
     known.at = context_.loop.now();
     known.has_begun = true;
+    const instant now = context_.loop.now();
+    if (known.has_record || is_only_known_version(context_.fleet, service, version, now))
+        return;
+    copies_.copy(key, version, nullptr);
+    // A stream that was resumed without its record, which the store has lost.
+    if (needs_record(context_.fleet, service, version, now))
+        write_again(key, version);
+}
+
+milliseconds stream_records::silence() const
+{
+    return std::max(store_silence(context_), copies_.silence());
 }
 
 void stream_records::find(const request_id& stream, const service_id& service,
                           origin_handler done)
 {
-    const auto known = known_.find(stream);
+    const auto known = known_.find(key_of_stream(stream));
     if (known != known_.end() && known->second.has_begun)
         return done({origin_source::own_memory, known->second.version});
     searches_.find(stream, service, std::move(done));
 }
 
+stream_statement stream_records::statement_of(const stream_key& stream) const
+{
+    stream_statement statement;
+    const auto known = known_.find(stream);
+    if (known != known_.end() && known->second.has_begun)
+        statement.own = known->second.version;
+    statement.copy = copies_.find(stream);
+    statement.uptime = to_milliseconds(context_.loop.now() - context_.started);
+    return statement;
+}
+
+void stream_records::on_question(const stream_question_message& message)
+{
+    send_(message.sender, stream_statement_message{context_.settings.id, message.stream,
+                                                   statement_of(message.stream)});
+}
+
+void stream_records::on_statement(const stream_statement_message& message)
+{
+    searches_.on_statement(message);
+}
+
 void stream_records::run_periodic_work()
 {
     handle_new_era();
+    write_records_of_lost_daemons();
     forget_ended_streams();
+    copies_.remove_ended_streams();
     if (is_loaded_() && is_first_member(context_.fleet) && !context_.leaving)
         remove_abandoned_records();
 }
@@ -208,6 +281,28 @@
     schedule_write();
 }
 
+void stream_records::write_records_of_lost_daemons()
+{
+    if (!context_.era_seen_at ||
+        context_.loop.now() - *context_.era_seen_at > stream_lifetime)
+        return;
+    for (const auto& [stream, version] : copies_.take_copies_of_lost_writers())
+        if (!known_.contains(stream))
+            write_again(stream, version);
+}
+
+void stream_records::write_again(const stream_key& stream,
+                                 const software_version& version)
+{
+    known_stream& known = known_[stream];
+    known.version = version;
+    known.at = context_.loop.now();
+    known.has_record = true;
+    known.may_be_written = true;
+    pending_.push_back({stream, version, known.at, nullptr});
+    schedule_write();
+}
+
 void stream_records::forget_ended_streams()
 {
     const instant now = context_.loop.now();
--- a/tests/contract/fleet_wire_test.cpp
+++ b/tests/contract/fleet_wire_test.cpp
@@ -189,6 +189,37 @@
     const fleet_message decoded_request = decode(encode(load));
     BOOST_TEST(std::get<load_request_message>(decoded_request).version->value == 4U);
 
+    const fleet_message decoded_copies = decode(
+        encode(stream_copies_message{{"daemon-1"}, {"run"}, {{{"s1"}, {"v2"}, {7}}}}));
+    const auto& copies = std::get<stream_copies_message>(decoded_copies);
+    BOOST_TEST(copies.incarnation.value == "run");
+    BOOST_REQUIRE(copies.copies.size() == 1U);
+    BOOST_TEST(copies.copies.at(0).stream.value == "s1");
+    BOOST_TEST(copies.copies.at(0).version.value == "v2");
+    BOOST_TEST(copies.copies.at(0).number.value == 7U);
+    const fleet_message decoded_receipt =
+        decode(encode(stream_copies_receipt{{"daemon-1"}, {{{"s1"}, {7}}}}));
+    const auto& receipt = std::get<stream_copies_receipt>(decoded_receipt);
+    BOOST_TEST(receipt.streams.at(0).first.value == "s1");
+    BOOST_TEST(receipt.streams.at(0).second.value == 7U);
+    const fleet_message decoded_stream =
+        decode(encode(stream_question_message{{"daemon-1"}, {"s1"}}));
+    BOOST_TEST(std::get<stream_question_message>(decoded_stream).stream.value == "s1");
+    stream_statement statement;
+    statement.own = software_version{"v1"};
+    statement.copy = stream_copy{{"daemon-2"}, {"run"}, {7}, {"v2"}};
+    statement.uptime = milliseconds(1234);
+    const fleet_message decoded_statement =
+        decode(encode(stream_statement_message{{"daemon-1"}, {"s1"}, statement}));
+    const auto& described = std::get<stream_statement_message>(decoded_statement);
+    BOOST_TEST(described.stream.value == "s1");
+    BOOST_TEST(described.statement.own->value == "v1");
+    BOOST_TEST(described.statement.copy->writer.value == "daemon-2");
+    BOOST_TEST(described.statement.copy->incarnation.value == "run");
+    BOOST_TEST(described.statement.copy->number.value == 7U);
+    BOOST_TEST(described.statement.copy->version.value == "v2");
+    BOOST_TEST(described.statement.uptime.count() == 1234);
+
     quota_question_message question;
     question.customer = {"c"};
     question.quota.rate = 500;
--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -195,7 +195,10 @@
               [this](const daemon_id&, const fleet_message& message)
               { sent.push_back(message); },
               [this](const fleet_message& message) { broadcasts.push_back(message); }),
-          records(context, [] { return true; }),
+          records(
+              context, [] { return true; },
+              [this](const daemon_id&, const fleet_message& message)
+              { sent.push_back(message); }),
           brittle(context, [this](const fleet_message& message)
                   { broadcasts.push_back(message); }),
           links(context, pool, [this] { flow.on_links_changed(); }),
