--- a/servers/gateway/gateway.cpp
+++ b/servers/gateway/gateway.cpp
@@ -22,6 +22,7 @@
 #include "servers/gateway/loads/endpoint_load_reports.hpp"
 #include "servers/gateway/request_flow.hpp"
 #include "servers/gateway/request_permits.hpp"
+#include "servers/gateway/request_target.hpp"
 #include "servers/gateway/store/change_publisher.hpp"
 #include "servers/gateway/store_sync.hpp"
 #include "servers/gateway/streams/stream_records.hpp"
@@ -296,22 +297,24 @@
 void gateway::on_request(stream_id caller, const http_head& head, std::string body)
 {
     constexpr int status_ok = 200;
+    constexpr int status_not_found = 404;
     constexpr int status_unavailable = 503;
-    const std::optional<request_type> extra_type =
-        context_.extra_caller_interface ? context_.extra_caller_interface->classify(head)
-                                        : std::nullopt;
-    if (extra_type == request_type::directory)
-        return send_directory(caller, context_.extra_caller_interface->write_directory);
-    if (extra_type)
-        return flow_.handle_request(caller, head, std::move(body));
-    switch (context_.dialect.classify(head))
+    const address_roles roles = caller_server_.roles_of(caller);
+    const request_target target = target_of_request(context_, head, roles);
+    switch (target)
     {
-    case request_type::readiness:
+    case request_target::readiness:
         return caller_server_.send_response(
             caller, is_ready(context_) ? status_ok : status_unavailable, "", "");
-    case request_type::directory:
+    case request_target::directory:
         return send_directory(caller, context_.dialect.write_directory);
-    case request_type::forward:
+    case request_target::extra_directory:
+        return send_directory(caller, context_.extra_caller_interface->write_directory);
+    case request_target::nothing:
+        return caller_server_.send_error(
+            caller, {verdict::not_run, status_not_found, "unknown_call",
+                     "this address does not serve '" + head.target + "'", std::nullopt});
+    case request_target::route:
         break;
     }
     flow_.handle_request(caller, head, std::move(body));
@@ -755,12 +758,8 @@
 
 int gateway::run()
 {
-    std::set<std::string> addresses{context_.settings.caller_address.value,
-                                    context_.settings.readiness_address.value,
-                                    context_.settings.directory_address.value};
-    for (const std::string& address : addresses)
-        caller_server_.listen({address});
-    caller_server_.listen(context_.settings.peer_address, true);
+    for (const auto& [address, roles] : roles_by_address(context_.settings))
+        caller_server_.listen(address, roles);
     context_.loop.listen_for_datagrams(context_.settings.peer_address,
                                        [this](std::string_view bytes)
                                        { on_datagram(bytes); });
@@ -768,7 +767,7 @@
                                    {"callers", context_.settings.caller_address.value},
                                    {"store", context_.settings.store_address.value}});
     if (!context_.settings.metrics_address.empty())
-        operator_server_.listen(context_.settings.metrics_address);
+        operator_server_.listen(context_.settings.metrics_address, {});
     send_periodic_heartbeat();
     report_endpoint_loads();
     publisher_.run();
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -72,16 +72,16 @@
 {
 }
 
-void http_server::listen(const network_address& address, bool for_peers)
+void http_server::listen(const network_address& address, const address_roles& roles)
 {
     context_.loop.listen(address,
-                         [this, for_peers](stream_id id) { on_accepted(id, for_peers); });
+                         [this, roles](stream_id id) { on_accepted(id, roles); });
 }
 
-bool http_server::is_from_peer(stream_id caller) const
+address_roles http_server::roles_of(stream_id caller) const
 {
     const auto found = connections_.find(caller.value);
-    return found != connections_.end() && found->second.is_from_peer;
+    return found == connections_.end() ? address_roles{} : found->second.roles;
 }
 
 caller_limits http_server::configured_limits() const
@@ -98,11 +98,11 @@
     return result;
 }
 
-void http_server::on_accepted(stream_id id, bool is_from_peer)
+void http_server::on_accepted(stream_id id, const address_roles& roles)
 {
     caller_connection connection{
         http_reader(http_reader::message_kind::request, limits()),
-        counted_bytes(held_bytes_), 0, 0, is_from_peer};
+        counted_bytes(held_bytes_), 0, 0, roles};
     become_idle(connection);
     connections_.emplace(id.value, std::move(connection));
     stream_handlers handlers;
@@ -305,7 +305,7 @@
     const seconds stated = std::chrono::floor<seconds>(configured_limits().idle_timeout *
                                                        stated_idle_percent / 100);
     // Zero would tell callers to close the connection at once.
-    if (connection.is_from_peer || stated.count() == 0)
+    if (connection.roles.peers || stated.count() == 0)
         return "";
     return "Keep-Alive: timeout=" + std::to_string(stated.count()) + "\r\n";
 }
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -32,6 +32,17 @@
 // still read.
 constexpr milliseconds departed_retry_delay{1000};
 
+// What an address serves. The settings may give several of these the same address.
+struct address_roles
+{
+    // Requests on the routes of the configuration.
+    bool callers = false;
+    bool readiness = false;
+    bool directory = false;
+    // Requests that other daemons pass on.
+    bool peers = false;
+};
+
 // An HTTP/1.1 server on the event loop, for callers and for operators. Reads complete
 // requests, one at a time on each connection, and writes their responses. The functions
 // that write a response do nothing if the caller has disconnected.
@@ -48,11 +59,13 @@
     http_server(gateway_context& context, request_handler on_request,
                 disconnect_handler on_disconnect);
 
-    // `for_peers` tells requests that other daemons pass on from those of callers. Throws
-    // std::runtime_error if the address can't be bound.
-    void listen(const network_address& address, bool for_peers = false);
+    // Throws std::runtime_error if the address can't be bound.
+    void listen(const network_address& address, const address_roles& roles);
+    // Returns what the address serves at which the caller has connected; nothing if it
+    // has disconnected.
+    address_roles roles_of(stream_id caller) const;
     // Returns true if the request came from another daemon.
-    bool is_from_peer(stream_id caller) const;
+    bool is_from_peer(stream_id caller) const { return roles_of(caller).peers; }
     // Sends a complete response, with a length or ended by the connection. `fields` are
     // header lines, each of which ends in CRLF.
     void send_response(stream_id caller, int status, const std::string& fields,
@@ -92,7 +105,7 @@
         // current request.
         std::size_t head_bytes = 0;
         std::size_t body_bytes = 0;
-        bool is_from_peer = false;
+        address_roles roles;
         // True from the time at which a request is complete to the end of its response.
         bool request_in_progress = false;
         // False if the connection ends after the response to the current request.
@@ -107,7 +120,7 @@
         body_framing framing = body_framing::chunked;
     };
 
-    void on_accepted(stream_id id, bool is_from_peer);
+    void on_accepted(stream_id id, const address_roles& roles);
     void on_readable(stream_id id);
     void on_input_ended(stream_id id);
     void on_ended(stream_id id);
--- a/servers/gateway/request_flow_admission.cpp
+++ b/servers/gateway/request_flow_admission.cpp
@@ -56,11 +56,13 @@
     exchange.arrived = context_.loop.now();
     try
     {
-        const std::optional<caller_interface>& extra_interface =
-            context_.extra_caller_interface;
-        exchange.request = extra_interface && extra_interface->classify(head)
-                               ? extra_interface->read_request(head, exchange.body)
-                               : context_.dialect.read_request(head);
+        exchange.request = context_.dialect.read_request(head);
+        // A request with an id of the platform's interface is one of that interface,
+        // whatever its path is.
+        if (exchange.request.id.empty() && context_.extra_caller_interface &&
+            context_.extra_caller_interface->classify(head))
+            exchange.request =
+                context_.extra_caller_interface->read_request(head, exchange.body);
     }
     catch (const dialect_error& error)
     {
--- a/tests/contract/caller_connections_test.cpp
+++ b/tests/contract/caller_connections_test.cpp
@@ -71,7 +71,7 @@
                        { respond(id); },
                        [](stream_id) {}};
 
-    server_fixture() { server.listen(address); }
+    server_fixture() { server.listen(address, address_roles{true}); }
 
     void set_limits(milliseconds idle_timeout, milliseconds header_timeout = seconds(10))
     {
--- a/tests/contract/caller_limits_test.cpp
+++ b/tests/contract/caller_limits_test.cpp
@@ -164,7 +164,7 @@
         },
         [](stream_id) {});
     test.address = free_address();
-    server->listen(test.address);
+    server->listen(test.address, caller_roles());
     const stream_id caller = test.connect();
     test.context.loop.pause_reading(caller);
     for (int request = 0; request < requests; ++request)
@@ -262,7 +262,7 @@
         { server->send_response(caller, 200, "", std::string(response_bytes, 'x')); },
         [](stream_id) {});
     test.address = free_address();
-    server->listen(test.address);
+    server->listen(test.address, caller_roles());
     harness::raw_connection caller(test.address.value);
     caller.send(post_request("/"), seconds(1));
     test.run_until([] { return false; }, milliseconds(100));
--- a/tests/contract/cut_answer_test.cpp
+++ b/tests/contract/cut_answer_test.cpp
@@ -476,7 +476,7 @@
     cut_fixture front;
     cut_fixture peer;
     const network_address peer_address = free_address();
-    peer.callers.listen(peer_address, true);
+    peer.callers.listen(peer_address, peer_roles());
     peer.renew_endpoints(route.service);
     peer.later_answer = later_answer_of(route);
     peer.plans = batch_from(plans, 0, plans.size());
--- a/tests/contract/flow_fixture.hpp
+++ b/tests/contract/flow_fixture.hpp
@@ -128,6 +128,20 @@
     }
 };
 
+inline address_roles caller_roles()
+{
+    address_roles roles;
+    roles.callers = true;
+    return roles;
+}
+
+inline address_roles peer_roles()
+{
+    address_roles roles;
+    roles.peers = true;
+    return roles;
+}
+
 // The request path of a daemon with two scripted endpoints, all on one event loop.
 struct flow_fixture
 {
@@ -220,7 +234,7 @@
                }),
           first(context.loop), second(context.loop)
     {
-        callers.listen(address);
+        callers.listen(address, caller_roles());
         loads.on_load_known([this](const endpoint_id& endpoint)
                             { flow.dispatch_waiting_at(endpoint); });
         set_routes();
--- a/tests/contract/relay_test.cpp
+++ b/tests/contract/relay_test.cpp
@@ -133,7 +133,7 @@
 {
     cut_off_fixture test;
     test.address = free_address();
-    test.callers.listen(test.address, true);
+    test.callers.listen(test.address, peer_roles());
     const std::string response = test.send_request("/once/1");
     BOOST_TEST(response.starts_with("HTTP/1.1 503"));
     BOOST_TEST(contains(response, "not_run"));
--- a/tests/harness/fleet.cpp
+++ b/tests/harness/fleet.cpp
@@ -67,6 +67,11 @@
     for (int daemon = 0; daemon < options.daemons; ++daemon)
     {
         caller_addresses_.push_back("127.0.0.1:" + std::to_string(free_port()));
+        for (std::vector<std::string>* own :
+             {&readiness_addresses_, &directory_addresses_})
+            own->push_back(options.separate_addresses
+                               ? "127.0.0.1:" + std::to_string(free_port())
+                               : caller_addresses_.back());
         operator_addresses_.push_back("127.0.0.1:" + std::to_string(free_port()));
         peer_addresses_.push_back("127.0.0.1:" + std::to_string(free_port()));
         store_addresses_by_daemon_.push_back(
@@ -205,8 +210,8 @@
     file << "[daemon]\nid = \"daemon-" << daemon << "\"\nzone = \"zone\"\n"
          << "caller_interface = \"openai\"\n"
          << "[listen]\ncallers = \"" << own_caller_address << "\"\nreadiness = \""
-         << own_caller_address << "\"\nseeds = [" << seeds << "]\ndirectory = \""
-         << own_caller_address << "\"\npeers = \"" << peer_addresses_.at(index)
+         << readiness_address(daemon) << "\"\nseeds = [" << seeds << "]\ndirectory = \""
+         << directory_address(daemon) << "\"\npeers = \"" << peer_addresses_.at(index)
          << "\"\nmetrics = \"" << operator_addresses_.at(index) << "\"\n"
          << "[store]\naddress = \"" << store_addresses_by_daemon_.at(index) << "\"\n"
          << "[orders]\nstore_load_ms = 60\n"
@@ -243,7 +248,7 @@
 bool fleet::all_ready() const
 {
     for (const auto& [daemon, running] : daemons_)
-        if (get(caller_address(daemon), "/v1/readyz").status != 200)
+        if (get(readiness_address(daemon), "/v1/readyz").status != 200)
             return false;
     return true;
 }
--- a/tests/harness/fleet.hpp
+++ b/tests/harness/fleet.hpp
@@ -42,6 +42,9 @@
     int stream_attempts = 1;
     // Callers and daemons may resume the streams of send_platform_chat() too.
     bool resumable_chats = false;
+    // Readiness and the directory have addresses of their own, as on the users' platform;
+    // else they share that of the callers.
+    bool separate_addresses = false;
     // The software versions of the engines, by their numbers; the last one also holds for
     // further engines. The entries state none if this is empty.
     std::vector<std::string> engine_software;
@@ -71,6 +74,14 @@
     {
         return caller_addresses_.at(static_cast<std::size_t>(daemon));
     }
+    const std::string& readiness_address(int daemon) const
+    {
+        return readiness_addresses_.at(static_cast<std::size_t>(daemon));
+    }
+    const std::string& directory_address(int daemon) const
+    {
+        return directory_addresses_.at(static_cast<std::size_t>(daemon));
+    }
     const std::string& store_address() const { return store_address_; }
     // The address of the daemon for metrics and operator reports.
     const std::string& operator_address(int daemon) const
@@ -202,6 +213,8 @@
     // The address of each endpoint, by its key in the store.
     std::map<std::string, std::string> endpoint_addresses_;
     std::vector<std::string> caller_addresses_;
+    std::vector<std::string> readiness_addresses_;
+    std::vector<std::string> directory_addresses_;
     std::vector<std::string> peer_addresses_;
     std::map<int, process> daemons_;
 };
