--- a/servers/gateway/event_loop.cpp
+++ b/servers/gateway/event_loop.cpp
@@ -35,16 +35,12 @@
 constexpr std::uint32_t reading_events = EPOLLIN | EPOLLRDHUP;
 // Upper bound of one wait, because signals are handled only between two waits.
 constexpr int max_wait_ms = 200;
-// A connection whose data stays unacknowledged for this long is closed. The time is long
-// enough for a lost packet to be retransmitted twice, and short enough to detect an
-// unreachable peer while a request is in flight.
-constexpr int unacknowledged_timeout_ms = 4000;
 
 void set_socket_options(int descriptor)
 {
     const int enabled = 1;
     setsockopt(descriptor, IPPROTO_TCP, TCP_NODELAY, &enabled, sizeof enabled);
-    const int timeout_ms = unacknowledged_timeout_ms;
+    const int timeout_ms = static_cast<int>(unconfirmed_limit.count());
     setsockopt(descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, &timeout_ms, sizeof timeout_ms);
 }
 
@@ -138,6 +134,7 @@
             return;
         set_socket_options(socket.number());
         const stream_id id = add_stream(std::move(socket), {});
+        streams_.at(id.value).is_accepted = true;
         source.accepted(id);
     }
 }
@@ -322,7 +319,19 @@
     shutdown(target.socket.number(), SHUT_WR);
     target.handlers = {};
     target.closes_after_output = false;
-    schedule_after(linger_time, [this, id] { close(id); });
+    schedule_after(linger_time, [this, id] { close_once_delivered(id); });
+}
+
+void event_loop::close_once_delivered(stream_id id)
+{
+    const auto found = streams_.find(id.value);
+    if (found == streams_.end())
+        return;
+    const bool may_be_read_later =
+        found->second.output_deadline && now_ < *found->second.output_deadline;
+    if (!may_be_read_later || !has_undelivered_output(id))
+        return close(id);
+    schedule_after(linger_time, [this, id] { close_once_delivered(id); });
 }
 
 void event_loop::end_unread(stream_id id)
@@ -443,6 +452,7 @@
             break;
         target.written += static_cast<std::size_t>(count);
         target.has_written = true;
+        target.written_since_check = true;
     }
     const bool all_written = target.written == target.output.size();
     if (all_written)
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -3,10 +3,12 @@
 
 #include "core/boot_clock.hpp"
 #include "core/ids.hpp"
+#include "policy/output_patience.hpp"
 #include "servers/socket.hpp"
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -53,6 +55,9 @@
 {
     boot_clock::duration busy{};
     boot_clock::duration max_timer_delay{};
+    // Streams that ended because their peer left output unread: until the deadline, for
+    // too long without confirming anything, or with too much held for it.
+    std::int64_t unread_streams_ended = 0;
 };
 
 // Serves TCP connections, datagrams and timers on one thread, with epoll. Output is
@@ -120,6 +125,17 @@
     // discarded from now on.
     void close_after_output(stream_id id);
 
+    // Lets the peer leave output unread until the deadline, as long as it confirms what
+    // reaches it; the stream is reset then. Without this, and for a peer that confirms
+    // nothing, the stream ends after `unconfirmed_limit` (policy/output_patience.hpp).
+    void set_output_deadline(stream_id id, instant deadline);
+    // The bytes that accepted streams with a deadline for their output hold of it.
+    std::size_t unread_output() const;
+    // Resets accepted streams with a deadline for their output until they hold no more
+    // than `max_bytes` of it together, first those whose peers have left it unread for
+    // the longest time. Bytes that were passed to the kernel don't count.
+    void limit_unread_output(std::size_t max_bytes);
+
     // Ends the sending side of an idle stream now, and closes it once the peer has closed
     // its side or has had time to. Nothing more is read: a message that crosses the end
     // stays unread, and the reset that answers it tells its sender so. `ended` isn't
@@ -177,6 +193,15 @@
         bool ends_unread = false;
         bool flush_scheduled = false;
         bool has_written = false;
+        // The peer has opened the connection.
+        bool is_accepted = false;
+        // See set_output_deadline().
+        std::optional<instant> output_deadline;
+        milliseconds limit_on_unconfirmed{unconfirmed_limit};
+        bool written_since_check = false;
+        // When a check first found output that the peer hasn't confirmed; none if all was
+        // delivered by the last check.
+        std::optional<instant> unread_since;
     };
 
     stream_id report_failure_later(stream_handlers handlers);
@@ -189,6 +214,17 @@
     void read_stream(stream_id id);
     void write_stream(stream_id id);
     void drain_and_close(stream_id id);
+    // Closes a stream whose sending side has ended, once its peer has the rest of the
+    // output or may no longer take its time for it.
+    void close_once_delivered(stream_id id);
+    // Checks the streams that were written since the last check.
+    void check_output();
+    // Returns false if the stream needs no further checks before it gets a new deadline.
+    bool check_written_stream(stream_id id);
+    static void set_unconfirmed_limit(stream& target, milliseconds limit);
+    // Extends the limit on unconfirmed output, or ends the stream.
+    void check_unread_output(stream_id id);
+    void give_up_unread_output(stream_id id);
     void end_input(stream_id id);
     void end_stream(stream_id id, stream_end end);
     void flush();
@@ -217,6 +253,11 @@
     // Connections that failed to open and whose `ended` handler hasn't been called yet.
     std::set<std::uint64_t> failed_connects_;
     std::vector<stream_id> flush_queue_;
+    // The streams that have a deadline for their output, and others for a while.
+    std::set<std::uint64_t> with_output_deadline_;
+    bool output_check_scheduled_ = false;
+    // False once the system has failed to tell the state of a delivery.
+    bool has_delivery_states_ = true;
     file_descriptor datagram_socket_;
     std::uint64_t datagram_tag_ = 0;
     std::function<void(std::string_view)> datagram_received_;
--- a/servers/gateway/gateway_statistics.cpp
+++ b/servers/gateway/gateway_statistics.cpp
@@ -64,6 +64,9 @@
                 to_seconds(statistics.dispatch_time));
     metrics.observe_seconds("pollenhaven_max_timer_delay_seconds",
                             to_seconds(loop.max_timer_delay));
+    if (loop.unread_streams_ended > 0)
+        metrics.add("pollenhaven_unread_streams_ended_total",
+                    static_cast<double>(loop.unread_streams_ended));
     report_counts(context, "received", statistics.received);
     report_counts(context, "sent", statistics.sent);
     statistics = {};
--- a/servers/gateway/http_server.cpp
+++ b/servers/gateway/http_server.cpp
@@ -1,6 +1,7 @@
 #include "servers/gateway/http_server.hpp"
 
 #include "core/json_text.hpp"
+#include "policy/fleet/response_memory.hpp"
 
 #include <boost/beast/http/status.hpp>
 
@@ -267,7 +268,7 @@
     if (!found->second.request_in_progress)
     {
         connections_.erase(found);
-        if (context_.loop.pending_output(id) > 0)
+        if (context_.loop.has_undelivered_output(id))
             return context_.loop.close_after_output(id);
         return context_.loop.close(id);
     }
@@ -391,6 +392,8 @@
 void http_server::finish_response(stream_id id)
 {
     caller_connection& connection = connections_.at(id.value);
+    if (context_.loop.pending_output(id) > max_unread_response_bytes)
+        limit_unread_responses();
     if (!connection.keep_alive)
     {
         connections_.erase(id.value);
@@ -408,6 +411,21 @@
     read_later(id, milliseconds(0));
 }
 
+void http_server::limit_unread_responses()
+{
+    if (std::exchange(limit_scheduled_, true))
+        return;
+    // From a timer, because the streams' handlers may end requests of this call's caller.
+    context_.loop.schedule_after(
+        milliseconds(0),
+        [this]
+        {
+            limit_scheduled_ = false;
+            context_.loop.limit_unread_output(
+                held_response_limit(context_.settings.memory_mb));
+        });
+}
+
 void http_server::read_later(stream_id id, milliseconds delay)
 {
     context_.loop.schedule_after(delay,
--- a/servers/gateway/http_server.hpp
+++ b/servers/gateway/http_server.hpp
@@ -139,6 +139,8 @@
     void refuse_departed(stream_id id);
     void refuse_malformed(stream_id id, const http_reader& reader);
     void finish_response(stream_id id);
+    // Bounds what the daemon holds of complete responses that their callers read slowly.
+    void limit_unread_responses();
     std::string status_line(int status) const;
     // Decides whether the connection ends after the response whose head is sent now, and
     // returns the fields of that head that say so. A caller goes by them, so what is
@@ -160,6 +162,7 @@
     // The bytes that all connections hold.
     std::size_t held_bytes_ = 0;
     std::unordered_map<std::uint64_t, caller_connection> connections_;
+    bool limit_scheduled_ = false;
 };
 
 } // namespace pollenhaven
--- a/servers/gateway/request_flow.cpp
+++ b/servers/gateway/request_flow.cpp
@@ -299,6 +299,7 @@
                             : pool_.acquire_connection(view.record, std::move(handlers));
     exchange.is_new_connection = !context_.loop.is_connected(exchange.upstream);
     exchange.is_kept_connection = !exchange.is_new_connection;
+    context_.loop.set_output_deadline(exchange.upstream, exchange.deadline);
     context_.loop.send(exchange.upstream,
                        context_.dialect.write_forwarded_request(
                            exchange.head, exchange.body.size(), fields) +
--- a/servers/gateway/request_flow_admission.cpp
+++ b/servers/gateway/request_flow_admission.cpp
@@ -99,6 +99,7 @@
         std::min(exchange.request.deadline.value_or(exchange.matched_route->timeout),
                  exchange.matched_route->timeout);
     exchange.deadline = exchange.arrived + time_limit;
+    context_.loop.set_output_deadline(exchange.caller, exchange.deadline);
     exchange.wait_deadline =
         exchange.arrived + max_wait_time(*exchange.matched_route, time_limit);
     if (context_.admission_ends && exchange.arrived > *context_.admission_ends)
--- a/servers/gateway/request_flow_relay.cpp
+++ b/servers/gateway/request_flow_relay.cpp
@@ -47,6 +47,7 @@
     target.address = peer.peer_address;
     const exchange_id id = exchange.id;
     exchange.upstream = pool_.acquire_connection(target, upstream_handlers(id));
+    context_.loop.set_output_deadline(exchange.upstream, exchange.deadline);
     relay_fields fields;
     fields.deadline = to_milliseconds(exchange.deadline - now);
     fields.last_event_id = exchange.last_event_id.empty() ? exchange.request.last_event_id
--- a/tests/harness/raw_connection.cpp
+++ b/tests/harness/raw_connection.cpp
@@ -16,9 +16,12 @@
 using std::chrono::milliseconds;
 using std::chrono::steady_clock;
 
-raw_connection::raw_connection(const std::string& address)
+raw_connection::raw_connection(const std::string& address, int receive_buffer)
     : socket_(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
 {
+    if (receive_buffer > 0)
+        setsockopt(socket_, SOL_SOCKET, SO_RCVBUF, &receive_buffer,
+                   sizeof receive_buffer);
     const std::size_t colon = address.rfind(':');
     sockaddr_in target{};
     target.sin_family = AF_INET;
@@ -90,6 +93,18 @@
     return received_;
 }
 
+bool raw_connection::read_some(std::size_t max_bytes, milliseconds timeout)
+{
+    std::string block(max_bytes, '\0');
+    if (!wait_until_ready(POLLIN, steady_clock::now() + timeout))
+        return false;
+    const ssize_t count = recv(socket_, block.data(), block.size(), MSG_DONTWAIT);
+    if (count <= 0)
+        return false;
+    received_.append(block.data(), static_cast<std::size_t>(count));
+    return true;
+}
+
 void raw_connection::close()
 {
     if (socket_ >= 0)
--- a/tests/harness/raw_connection.hpp
+++ b/tests/harness/raw_connection.hpp
@@ -12,8 +12,9 @@
 class raw_connection
 {
 public:
-    // Throws std::runtime_error if the connection can't be established.
-    explicit raw_connection(const std::string& address);
+    // `receive_buffer` is the size of the kernel's buffer for received bytes; 0 leaves it
+    // as it is. Throws std::runtime_error if the connection can't be established.
+    explicit raw_connection(const std::string& address, int receive_buffer = 0);
     ~raw_connection();
     raw_connection(raw_connection&& other) noexcept;
     raw_connection& operator=(raw_connection&&) = delete;
@@ -29,6 +30,10 @@
     // Returns all bytes that have been read so far.
     const std::string& read_until(const std::string& text,
                                   std::chrono::milliseconds timeout);
+    // Reads at most this many bytes and adds them to what has been read. Returns false if
+    // the connection ends or nothing arrives within the timeout.
+    bool read_some(std::size_t max_bytes, std::chrono::milliseconds timeout);
+    const std::string& received() const { return received_; }
     void close();
 
 private:
