A response whose status HTTP doesn't have is malformed

Callers got 600, 700 or 999 of a faulty endpoint as their answer on non-idempotent routes, and waited for the time-out (504) where the status was below 100.

Cause: nothing checked that a status is one of 100 to 599 (RFC 9110, 15); below 200 counted as interim, and 500 and above as an endpoint's failure, which is passed on. Change: the reader of responses refuses others, so that the attempt has failed: 502 at once, or another endpoint. It is the one reader of endpoints, peers, the store, engines' reports and orders.

odd_statuses_of_responses: 91 checks red before, green after.

--- a/servers/gateway/http_reader.cpp
+++ b/servers/gateway/http_reader.cpp
@@ -74,6 +74,15 @@
     return byte >= '0' && byte <= '9';
 }
 
+// Returns true for the status codes that HTTP has (RFC 9110, 15). Any other one neither
+// makes a response interim nor says what became of its request.
+bool is_status(int code)
+{
+    constexpr int first_status = 100;
+    constexpr int last_status = 599;
+    return code >= first_status && code <= last_status;
+}
+
 // Returns true if the text contains the version and status of another response, such as
 // "HTTP/1.1 200".
 bool contains_status_line(std::string_view text)
@@ -169,7 +178,8 @@
     {
         const auto& response = parser_->response->get();
         head_.status = static_cast<int>(response.result_int());
-        if (contains_other_response(std::string(response.reason()), head_))
+        if (!is_status(head_.status) ||
+            contains_other_response(std::string(response.reason()), head_))
             return read_error::bad_message;
     }
     return has_certain_length(head_, version) ? read_error::none
