A base version's entry that a restored store has from before its change is replaced

Callers would get streams of the present base version, which have no record, joined with events of the earlier one if its endpoints come back, or refused: daemons took over whatever entry a restored store has. By the same entry a daemon that starts can't tell a restore of long ago from one just now, and doubts all missing records.

Change: the entry has a number that rises with each change; one with a lower number changes nothing, and any member writes the later one again. It also says which era of the store has been known for the lifetime of a stream.

--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -181,6 +181,13 @@
     // When this daemon learned that it replaced another version; none if it knows no
     // other.
     std::optional<instant> changed_at;
+    // The number of changes before it.
+    std::uint64_t number = 0;
+    // The last era of the store that all daemons had known for the lifetime of a stream;
+    // 0 if there is none.
+    store_era settled_era{};
+    // A restored store has an earlier one.
+    bool is_outdated_in_store = false;
 };
 
 // The state of the fleet as far as this daemon, `self`, knows it.
--- a/policy/fleet/stream_origin.cpp
+++ b/policy/fleet/stream_origin.cpp
@@ -144,6 +144,42 @@
     return base->version;
 }
 
+void apply_base_version(fleet_view& fleet, const service_id& service,
+                        const base_version& stored, instant now)
+{
+    const auto [place, is_new] = fleet.base_versions.try_emplace(service, stored);
+    base_version& known = place->second;
+    if (is_new)
+        return;
+    if (stored.number < known.number)
+    {
+        known.revision = stored.revision;
+        known.is_outdated_in_store = true;
+        return;
+    }
+    const std::optional<instant> changed_at =
+        known.version == stored.version ? known.changed_at : now;
+    known = stored;
+    known.changed_at = changed_at;
+}
+
+bool may_lack_records(const fleet_view& fleet, const service_id& service,
+                      std::optional<instant> era_seen_at, instant now)
+{
+    if (!era_seen_at || now - *era_seen_at > stream_lifetime)
+        return false;
+    const base_version* const base = find_base(fleet, service);
+    return base == nullptr || base->settled_era != fleet.era;
+}
+
+bool must_settle_era(const fleet_view& fleet, const service_id& service,
+                     std::optional<instant> era_seen_at, instant now)
+{
+    const base_version* const base = find_base(fleet, service);
+    return base != nullptr && era_seen_at && now - *era_seen_at > stream_lifetime &&
+           base->settled_era != fleet.era;
+}
+
 std::optional<software_version> next_base_version(const fleet_view& fleet,
                                                   const service_id& service,
                                                   std::optional<instant> absent_since,
@@ -158,7 +194,7 @@
         absent_since && now - *absent_since > stream_lifetime + base_version_delay;
     if (is_unused && candidate)
         return candidate;
-    if (base->revision.value == 0)
+    if (base->revision.value == 0 || base->is_outdated_in_store)
         return base->version;
     return std::nullopt;
 }
--- a/policy/fleet/stream_origin.hpp
+++ b/policy/fleet/stream_origin.hpp
@@ -118,6 +118,22 @@
                                                        const service_id& service,
                                                        milliseconds silence, instant now);
 
+// Applies the service's entry in the store. One that a restored store has from before the
+// last change that is known changes nothing but the revision to replace.
+void apply_base_version(fleet_view& fleet, const service_id& service,
+                        const base_version& stored, instant now);
+
+// Returns true if the store, of which this era was first seen at the time `era_seen_at`,
+// may lack a record that was written before. None is the time of a store that was never
+// restored. A daemon that started after the restore knows by the base version's entry
+// whether that was long ago.
+bool may_lack_records(const fleet_view& fleet, const service_id& service,
+                      std::optional<instant> era_seen_at, instant now);
+
+// Returns true if the base version's entry has to say that the present era is settled.
+bool must_settle_era(const fleet_view& fleet, const service_id& service,
+                     std::optional<instant> era_seen_at, instant now);
+
 // Returns the version that the store should have as the service's base version, if it has
 // another one or none. The base version changes only when no endpoint has run it since
 // `absent_since`, for so long that no stream of it can be resumed any more.
--- a/servers/gateway/streams/stream_searches.cpp
+++ b/servers/gateway/streams/stream_searches.cpp
@@ -72,7 +72,7 @@
     if (!stream.empty())
     {
         unread_.push_back(id);
-        if (is_store_in_doubt())
+        if (is_store_in_doubt(service))
             ask_members(search);
     }
     read_next();
@@ -128,7 +128,7 @@
     if (origin.source != origin_source::unknown)
         return finish(id, origin);
     // The response may be the first one of a restored store.
-    if (is_store_in_doubt() && search.answers.empty())
+    if (is_store_in_doubt(search.service) && search.answers.empty())
         ask_members(search);
     read_again_later(id);
 }
@@ -154,7 +154,7 @@
         if (origin.source != origin_source::unknown ||
             now - search.began >= max_search_time)
             ended[id] = origin;
-        else if (is_store_in_doubt())
+        else if (is_store_in_doubt(search.service))
             ask_members(search);
     }
     for (const auto& [id, origin] : ended)
@@ -189,15 +189,15 @@
         finish(id, origin);
 }
 
-bool stream_searches::is_store_in_doubt() const
+bool stream_searches::is_store_in_doubt(const service_id& service) const
 {
-    return context_.era_seen_at &&
-           context_.loop.now() - *context_.era_seen_at <= stream_lifetime;
+    return may_lack_records(context_.fleet, service, context_.era_seen_at,
+                            context_.loop.now());
 }
 
 bool stream_searches::is_conclusive(const pending_search& search) const
 {
-    if (!is_loaded_() || !is_store_in_doubt())
+    if (!is_loaded_() || !is_store_in_doubt(search.service))
         return is_loaded_();
     const instant now = context_.loop.now();
     const instant restored_at = *context_.era_seen_at;
@@ -227,7 +227,7 @@
                        {{"stream_begun_by", ended.stream.value},
                         {"software", origin.version.value},
                         {"source", to_text(origin.source)},
-                        {"in_doubt", std::int64_t{is_store_in_doubt()}},
+                        {"in_doubt", std::int64_t{is_store_in_doubt(ended.service)}},
                         {"answers", static_cast<std::int64_t>(ended.answers.size())}});
     context_.metrics.add("pollenhaven_stream_searches_total{source=\"" +
                          std::string(to_text(origin.source)) + "\"}");
--- a/servers/gateway/streams/stream_searches.hpp
+++ b/servers/gateway/streams/stream_searches.hpp
@@ -80,7 +80,7 @@
     // answered it.
     void ask_members(pending_search& search);
     // True if a record that was written before may be missing in the restored store.
-    bool is_store_in_doubt() const;
+    bool is_store_in_doubt(const service_id& service) const;
     // True if the stream has no record if the store has none.
     bool is_conclusive(const pending_search& search) const;
 
--- a/tests/policy/stream_origin_test.cpp
+++ b/tests/policy/stream_origin_test.cpp
@@ -557,6 +557,57 @@
     BOOST_TEST(next_base_version(fleet, service, start, start)->value == "v1");
 }
 
+// Guards against streams of the present base version that are taken for streams of the
+// one before it, because a restored store has its entry from before the change (ORDER).
+BOOST_AUTO_TEST_CASE(an_earlier_base_version_of_a_restored_store_is_replaced)
+{
+    fleet_view fleet = fleet_with({"v1", "v2"});
+    base_version stored{{"v1"}, {10}, std::nullopt};
+    apply_base_version(fleet, service, stored, start);
+    BOOST_TEST(!fleet.base_versions.at(service).changed_at.has_value());
+    stored.version = {"v2"};
+    stored.revision = {20};
+    stored.number = 1;
+    apply_base_version(fleet, service, stored, start + seconds(1));
+    BOOST_TEST(fleet.base_versions.at(service).version.value == "v2");
+    BOOST_TEST(fleet.base_versions.at(service).changed_at.has_value());
+    BOOST_TEST(!next_base_version(fleet, service, std::nullopt, start));
+
+    base_version restored{{"v1"}, {10}, std::nullopt};
+    apply_base_version(fleet, service, restored, start + seconds(9));
+    BOOST_TEST(fleet.base_versions.at(service).version.value == "v2");
+    BOOST_TEST(fleet.base_versions.at(service).revision.value == 10U);
+    BOOST_TEST(next_base_version(fleet, service, std::nullopt, start)->value == "v2");
+    const stream_search search{start, record_lookup::absent, {}, true, std::nullopt};
+    BOOST_TEST(locate_stream(fleet, service, search, start).version.value == "v2");
+
+    stored.revision = {12};
+    apply_base_version(fleet, service, stored, start + seconds(10));
+    BOOST_TEST(!next_base_version(fleet, service, std::nullopt, start));
+}
+
+// Guards against a missing record that counts although the store has just been restored
+// (ORDER), and against doubt because of a restore of long ago, which is the same to a
+// daemon that has just started.
+BOOST_AUTO_TEST_CASE(a_restored_store_is_in_doubt_until_its_era_is_settled)
+{
+    fleet_view fleet = fleet_with({"v1", "v2"});
+    fleet.era = {3};
+    const instant late = start + stream_lifetime + seconds(1);
+    BOOST_TEST(!may_lack_records(fleet, service, std::nullopt, start));
+    BOOST_TEST(may_lack_records(fleet, service, start, start + seconds(1)));
+    BOOST_TEST(!may_lack_records(fleet, service, start, late));
+    set_base(fleet, "v1");
+    fleet.base_versions.at(service).settled_era = {2};
+    BOOST_TEST(may_lack_records(fleet, service, start, start + seconds(1)));
+    BOOST_TEST(!must_settle_era(fleet, service, start, start + seconds(1)));
+    BOOST_TEST(!must_settle_era(fleet, service, std::nullopt, late));
+    BOOST_TEST(must_settle_era(fleet, service, start, late));
+    fleet.base_versions.at(service).settled_era = {3};
+    BOOST_TEST(!may_lack_records(fleet, service, start, start + seconds(1)));
+    BOOST_TEST(!must_settle_era(fleet, service, start, late));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_of_one_version_is_sent_to_its_endpoints_only)
 {
     fleet_view fleet = fleet_with({"v1", "v2"});
