stream_version_test: a refusal is no complete stream

The end of a 503 counted as that of a complete stream, so streams that were refused met the bound of nine in ten. The check is stricter now; the bound is unchanged and holds.

--- a/tests/process/stream_version_test.cpp
+++ b/tests/process/stream_version_test.cpp
@@ -205,7 +205,7 @@
         versions.insert(version);
         for (const event_stream& part : {result.begun, result.rest})
         {
-            complete += part.is_complete ? 1 : 0;
+            complete += part.status == 200 && part.is_complete ? 1 : 0;
             joined += has_event_of_other_version(options, part, version) ? 1 : 0;
         }
     }
