--- a/servers/gateway/fleet_membership.cpp
+++ b/servers/gateway/fleet_membership.cpp
@@ -130,8 +130,13 @@
     self.zone = context_.settings.zone;
     self.cores = context_.settings.cores;
     watch_.retain_items();
-    watch_.on_resync([this]
-                     { restart_takeover_timers(context_.fleet, boot_clock::now()); });
+    watch_.on_resync(
+        [this]
+        {
+            restart_takeover_timers(context_.fleet, boot_clock::now());
+            if (!member_entry_written_ && lease_ != 0)
+                send_lease_call();
+        });
     renew_lease();
 }
 
@@ -270,9 +275,9 @@
 
 void fleet_membership::write_member_entry(instant lease_sent)
 {
-    // The claims that the restored store has must be known first, so that the entry is
-    // written on the condition that they still hold.
-    if (context_.era_seen_at && !watch_.is_loaded())
+    // The entry that the store has must be known first, and after a restore the claims,
+    // so that the entry is written on the condition that they still hold.
+    if (!watch_.is_loaded() || entry_write_pending_)
         return;
     const nlohmann::json value{{"callers", context_.settings.caller_address.value},
                                {"peers", context_.settings.peer_address.value},
@@ -281,27 +286,56 @@
                                {"incarnation", context_.incarnation.value},
                                {"messages", message_version}};
     store_transaction transaction;
-    transaction.writes.push_back(
-        {member_prefix + context_.settings.id.value, write_json(value), lease_});
+    const std::string key = member_prefix + context_.settings.id.value;
+    transaction.expected.push_back({key, member_entry_revision_});
+    transaction.writes.push_back({key, write_json(value), lease_});
     for (const auto& [endpoint, permission] : permissions_)
         if (transaction.expected.size() + 1 < max_transaction_entries)
             transaction.expected.push_back(
                 {holder_prefix + endpoint.value, holders_.at(endpoint).revision});
+    entry_write_pending_ = true;
     client_.call(context_.dialect.transaction_call(transaction), write_timeout,
                  [this, lease_sent, era = handled_era_](const http_result& result)
                  {
+                     entry_write_pending_ = false;
                      handle_new_era();
-                     if (handled_era_ != era)
-                         return;
-                     member_entry_written_ =
-                         result.has_response && result.status == status_ok;
-                     if (member_entry_written_)
-                         confirm_lease(lease_validity_, lease_sent);
-                     if (result.has_response && result.status == status_not_found)
-                         on_lease_lost();
+                     if (handled_era_ == era)
+                         on_member_entry_written(result, lease_sent);
                  });
 }
 
+void fleet_membership::on_member_entry_written(const http_result& result,
+                                               instant lease_sent)
+{
+    member_entry_written_ = result.has_response && result.status == status_ok;
+    if (result.has_response && result.status == status_not_found)
+        on_lease_lost();
+    if (!member_entry_written_)
+        return;
+    try
+    {
+        written_entry_revision_ = context_.dialect.read_transaction(result.body);
+    }
+    catch (const dialect_error& error)
+    {
+        context_.log.write("member entry answer malformed", {{"reason", error.what()}});
+    }
+    confirm_lease(lease_validity_, lease_sent);
+}
+
+void fleet_membership::on_own_entry(const store_item& item)
+{
+    member_entry_revision_ = item.deleted ? store_revision{} : item.revision;
+    if (!item.deleted || !member_entry_written_ ||
+        item.revision < written_entry_revision_)
+        return;
+    context_.log.write("member entry lost",
+                       {{"lease", static_cast<std::int64_t>(lease_)}});
+    member_entry_written_ = false;
+    lease_validity_ = {};
+    send_lease_call();
+}
+
 bool fleet_membership::is_engine(const endpoint_view& endpoint) const
 {
     if (context_.routing == nullptr)
@@ -426,6 +460,8 @@
 
 void fleet_membership::on_member(const daemon_id& id, const store_item& item)
 {
+    if (id == context_.settings.id)
+        on_own_entry(item);
     member_view& member = context_.fleet.members[id];
     member.id = id;
     if (item.deleted)
--- a/servers/gateway/fleet_membership.hpp
+++ b/servers/gateway/fleet_membership.hpp
@@ -55,6 +55,10 @@
     void on_lease_renewed(const http_result& result, instant sent);
     void on_lease_lost();
     void write_member_entry(instant lease_sent);
+    void on_member_entry_written(const http_result& result, instant lease_sent);
+    // Follows the entry of this daemon, which may be removed although its lease is
+    // renewed: a late write may have put it under the lease of an earlier process.
+    void on_own_entry(const store_item& item);
     void claim(const endpoint_id& endpoint, const holder_record* holder);
     // Removes the claims of a daemon that is cut off from its engines, once none of its
     // orders can be in transit any more, so that other daemons can claim them.
@@ -76,6 +80,13 @@
     store_watch watch_;
     std::uint64_t lease_ = 0;
     bool member_entry_written_ = false;
+    // The revision of this daemon's entry as the watch has shown it last; 0 if there is
+    // none. An entry is written in place of this one only: a write that a killed process
+    // has left behind fails once its successor has written.
+    store_revision member_entry_revision_;
+    // The revision that the last write of the entry got.
+    store_revision written_entry_revision_;
+    bool entry_write_pending_ = false;
     bool lease_call_pending_ = false;
     // When the lease and store outages were last confirmed; decides whether orders may be
     // sent.
