--- a/policy/fleet/fleet_view.hpp
+++ b/policy/fleet/fleet_view.hpp
@@ -183,8 +183,8 @@
     std::optional<instant> changed_at;
     // The number of changes before it.
     std::uint64_t number = 0;
-    // The last era of the store that all daemons had known for the lifetime of a stream;
-    // 0 if there is none.
+    // The era of the store that the first member had known for the lifetime of a stream
+    // when it wrote the entry; 0 if there was none.
     store_era settled_era{};
     // A restored store has an earlier one.
     bool is_outdated_in_store = false;
--- a/policy/fleet/stream_copies.hpp
+++ b/policy/fleet/stream_copies.hpp
@@ -10,9 +10,9 @@
 namespace pollenhaven
 {
 
-// Other daemons hold copies of the records of streams (stream_origin.hpp), so that a
-// restored store which has lost a record, and the loss of the daemon that wrote it, don't
-// lose the version together. A copy is confirmed before the record is written.
+// Other daemons hold copies of the records of streams (stream_origin.hpp). So a stream's
+// version is still known if the store comes back without the record and the daemon that
+// wrote it is gone. A copy is confirmed before the record is written.
 
 // The fixed-length fingerprint of the id of the request that began a stream.
 using stream_key = strong_string<struct stream_key_tag>;
--- a/servers/gateway/event_loop.hpp
+++ b/servers/gateway/event_loop.hpp
@@ -253,7 +253,8 @@
     // Connections that failed to open and whose `ended` handler hasn't been called yet.
     std::set<std::uint64_t> failed_connects_;
     std::vector<stream_id> flush_queue_;
-    // The streams that have a deadline for their output, and others for a while.
+    // The streams whose output is checked: those whose deadline for it hasn't passed, and
+    // those that have unread output.
     std::set<std::uint64_t> with_output_deadline_;
     bool output_check_scheduled_ = false;
     // False once the system has failed to tell the state of a delivery.
--- a/tests/process/addresses_test.cpp
+++ b/tests/process/addresses_test.cpp
@@ -61,8 +61,8 @@
 
 } // namespace
 
-// Guards against a success of the daemon's own for a request on a customer's route, of
-// which the paths are those of the daemon's calls (MIXED).
+// Guards against the daemon answering a request itself that belongs to a customer's route
+// (MIXED), because the route has the path of one of the daemon's own calls.
 BOOST_AUTO_TEST_CASE(a_route_may_have_the_paths_of_the_daemons_calls)
 {
     fleet_options options;
