Review case 15: a daemon that follows others learns too late that a worker leaves (DRAIN)

Watchers that have lost the store go on telling that nothing has changed for 0.9 s, and a follower trusts the last message for 1.2 s more.

--- a/review/standins-3/kit.hpp
+++ b/review/standins-3/kit.hpp
@@ -704,6 +704,30 @@
         const std::lock_guard lock(mutex_);
         return orders_;
     }
+    // When each request reached a plain worker, with its id.
+    std::vector<std::pair<double, std::string>> arrivals()
+    {
+        const std::lock_guard lock(mutex_);
+        return arrivals_;
+    }
+    // Reports that the worker leaves. Returns the time at which the store accepted it.
+    double leave()
+    {
+        is_crashed_ = true;
+        json entry = entry_;
+        entry["addr"] = address_;
+        entry["state"] = "draining";
+        entry["coldRemainingMs"] = 0;
+        entry["born"] = born_.load();
+        store_.write(key(), entry);
+        return seconds_now();
+    }
+    // Ends the worker's process, as far as the daemons can see.
+    void exit()
+    {
+        front->set_cut(true);
+        store_.erase(key());
+    }
     std::map<std::string, int> runs()
     {
         const std::lock_guard lock(mutex_);
@@ -880,6 +904,8 @@
                 return;
             }
             ++runs_[id];
+            if (!is_engine_)
+                arrivals_.emplace_back(seconds_now(), id);
         }
         response.set_header("X-Pollenhaven-Server-Signature", "s." + id_ + "." + id);
         if (!is_engine_)
@@ -929,6 +955,7 @@
     std::map<std::string, std::pair<int, steady::time_point>> loading_;
     std::vector<order> orders_;
     std::map<std::string, int> runs_;
+    std::vector<std::pair<double, std::string>> arrivals_;
     std::atomic<int> running_{0};
     std::atomic<bool> overfilled_{false};
 };
