Review case 11: streams joined from two versions behind a store outage (ORDER)

From the entry in docs/design/versions.md on endpoints that start again under their ids with another version.

--- a/review/standins-3/kit.hpp
+++ b/review/standins-3/kit.hpp
@@ -368,6 +368,7 @@
         server_.set_pre_routing_handler(
             [this](const httplib::Request&, httplib::Response& response)
             {
+                wait_while_silent();
                 if (!is_down)
                     return httplib::Server::HandlerResponse::Unhandled;
                 response.status = 503;
@@ -398,7 +399,8 @@
                             request.get_param_value("pathPrefix"),
                             std::stoull(request.get_param_value("after")),
                             milliseconds(std::stoll(request.get_param_value("waitMs"))),
-                            [this] { return is_down || is_ending_; });
+                            [this] { return is_down || is_silent || is_ending_; });
+                        wait_while_silent();
                         if (is_down)
                             return answer(response, 503, json::object());
                         name_links(page["events"]);
@@ -448,10 +450,21 @@
     }
 
     std::atomic<bool> is_down{false};
+    // The store answers nothing, and does nothing, until it can be reached again.
+    std::atomic<bool> is_silent{false};
     // Called once a late write has been done.
     std::function<void()> late_done;
 
 private:
+    // A call that was held up by a silence isn't carried out.
+    void wait_while_silent()
+    {
+        if (!is_silent)
+            return;
+        while (is_silent && !is_ending_)
+            sleep_ms(20);
+    }
+
     static void answer(httplib::Response& response, int status, const json& body)
     {
         response.status = status;
@@ -739,12 +752,20 @@
     worker_link* front = nullptr;
     // The time from a crash until the worker is back, with a new incarnation.
     int restart_ms = 2000;
+    // Whether the store can be reached.
+    std::function<bool()> is_registry_up = [] { return true; };
     // Events of a stream, and the time between two of them.
     int events = 5;
     int event_ms = 10;
     // How long a plain worker works on a request.
     int work_ms = 20;
 
+    // The version of the software that the worker runs when it starts again.
+    void start_next_as(const std::string& version)
+    {
+        const std::lock_guard lock(mutex_);
+        next_version_ = version;
+    }
     // Ends all connections and refuses new ones until the worker has started again.
     void crash()
     {
@@ -757,9 +778,7 @@
                 sleep_ms(restart_ms);
                 if (ends_)
                     return;
-                born_ = std::chrono::duration_cast<milliseconds>(
-                            std::chrono::system_clock::now().time_since_epoch())
-                            .count();
+                restart();
                 front->set_cut(false);
                 is_crashed_ = false;
                 write_entry();
@@ -804,8 +823,11 @@
         json pending = json::array();
         for (const auto& [name, load] : loading_)
             pending.push_back("m0/" + name + "@" + std::to_string(load.first));
+        json models = json::array();
+        if (steady::now() >= model_ready_at_)
+            models.push_back({{"name", "m0"}, {"version", 1}, {"adapters", adapters}});
         return {{"stage", "colocated"},
-                {"models", {{{"name", "m0"}, {"version", 1}, {"adapters", adapters}}}},
+                {"models", models},
                 {"pending", pending},
                 {"busy", false},
                 {"seq", seq_},
@@ -816,9 +838,33 @@
                 {"handles", 0}};
     }
 
+    // A worker starts again empty, under the id that it had.
+    void restart()
+    {
+        const std::lock_guard lock(mutex_);
+        born_ = std::chrono::duration_cast<milliseconds>(
+                    std::chrono::system_clock::now().time_since_epoch())
+                    .count();
+        held_.clear();
+        loading_.clear();
+        seq_ = 0;
+        if (is_engine_)
+            model_ready_at_ = (steady::time_point::max)();
+        if (!next_version_.empty())
+            version_ = next_version_;
+        record_.line("worker " + id_ + " starts again, software " + version_);
+    }
+
     void write_entry()
     {
+        if (!is_registry_up())
+            return;
         json entry = entry_;
+        {
+            const std::lock_guard lock(mutex_);
+            if (!version_.empty())
+                entry["version"] = version_;
+        }
         entry["addr"] = address_;
         entry["state"] = "ready";
         entry["coldRemainingMs"] = 0;
@@ -840,6 +886,17 @@
         if (!body.contains("holder") || !body.contains("fencingToken"))
             return 400;
         const bool is_load = body.value("op", "") == "load";
+        if (is_load && adapter.empty() && model_ready_at_ == steady::time_point::max())
+        {
+            if (body.contains("precondition") &&
+                body["precondition"].get<std::uint64_t>() != seq_)
+                return 409;
+            ++seq_;
+            model_ready_at_ = steady::now() + milliseconds(600);
+            return 202;
+        }
+        if (steady::now() < model_ready_at_)
+            return adapter.empty() ? 200 : 409;
         if (is_load &&
             (adapter.empty() || (held_.contains(adapter) && !body.contains("version"))))
             return 200;
@@ -896,8 +953,9 @@
         {
             const std::lock_guard lock(mutex_);
             complete_loads();
-            if (is_engine_ && slash != std::string::npos &&
-                !held_.contains(model.substr(slash + 1)))
+            if (is_engine_ && (steady::now() < model_ready_at_ ||
+                               (slash != std::string::npos &&
+                                !held_.contains(model.substr(slash + 1)))))
             {
                 response.status = 421;
                 response.set_header("X-Pollenhaven-Not-Executed", "1");
@@ -917,19 +975,27 @@
             return;
         }
         ++running_;
+        const std::string last = request.get_header_value("Last-Event-Id");
+        const int first = last.empty() ? 0 : std::stoi(last);
+        std::string version;
+        {
+            const std::lock_guard lock(mutex_);
+            version = version_.empty() ? "v1" : version_;
+        }
         response.set_chunked_content_provider(
             "text/event-stream",
-            [this, sent = std::make_shared<int>(0)](std::size_t, httplib::DataSink& sink)
+            [this, version, sent = std::make_shared<int>(first)](std::size_t,
+                                                                 httplib::DataSink& sink)
             {
-                if (*sent == events)
+                if (*sent >= events)
                 {
                     sink.done();
                     return true;
                 }
                 sleep_ms(event_ms);
                 ++*sent;
-                const std::string event =
-                    "id: " + std::to_string(*sent) + "\ndata: token\n\n";
+                const std::string event = "id: " + std::to_string(*sent) +
+                                          "\ndata: " + version + " " + id_ + "\n\n";
                 return sink.write(event.data(), event.size());
             },
             [this](bool) { --running_; });
@@ -951,6 +1017,10 @@
     std::atomic<bool> ends_{false};
     std::mutex mutex_;
     std::uint64_t seq_ = 1;
+    std::string version_;
+    std::string next_version_;
+    // When the base model is loaded; the latest time of all if no order has loaded it.
+    steady::time_point model_ready_at_{};
     std::map<std::string, int> held_;
     std::map<std::string, std::pair<int, steady::time_point>> loading_;
     std::vector<order> orders_;
